--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements."""
--- /dev/null
+++ b/cactusvane/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' files, the published configuration and its versions."""
--- /dev/null
+++ b/cactusvane/events.py
@@ -0,0 +1,93 @@
+"""Numbered log events and the formatter that writes them as JSON lines.
+
+``docs/reference/events.md`` lists every event; a test compares it with this module.
+"""
+
+import logging
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+log = logging.getLogger("cactusvane")
+
+
+@dataclass(frozen=True, slots=True)
+class EventKind:
+    """The fixed part of an event.
+
+    Parameters
+    ----------
+    number
+        Stable number that operators search for.
+    level
+        Level of the standard `logging` module.
+    text
+        Message template in `str.format` form.
+    """
+
+    number: int
+    level: int
+    text: str
+
+
+class Event(Enum):
+    """Every event that the daemon and the command line log."""
+
+    DAEMON_STARTED = EventKind(1001, logging.INFO, "{vm} listens on {address}")
+    DAEMON_READY = EventKind(1002, logging.INFO, "{vm} is ready with configuration {version}")
+    DAEMON_DRAINING = EventKind(1003, logging.INFO, "{vm} takes no new connections")
+    DAEMON_STOPPED = EventKind(1004, logging.INFO, "{vm} stopped")
+
+
+class JsonLines(logging.Formatter):
+    """Format each record as one JSON object on one line."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the record as JSON text.
+
+        Parameters
+        ----------
+        record
+            A record of the standard `logging` module; `write` attaches the event's fields.
+
+        Returns
+        -------
+        str
+            One JSON object without a line break.
+        """
+        line: dict[str, object] = {
+            "time": record.created,
+            "level": record.levelname.lower(),
+            "event": getattr(record, "number", 0),
+            "message": record.getMessage(),
+        }
+        line.update(getattr(record, "fields", {}))
+        if record.exc_info:
+            line["trace"] = self.formatException(record.exc_info)
+        return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+def write(event: Event, **fields: object) -> None:
+    """Log `event` with the fields its text names.
+
+    Parameters
+    ----------
+    event
+        Which event happened.
+    fields
+        Values for the template; they also appear as members of the JSON line.
+    """
+    kind = event.value
+    if log.isEnabledFor(kind.level):
+        text = kind.text.format(**fields)
+        log.log(kind.level, "%s", text, extra={"number": kind.number, "fields": fields})
+
+
+def configure(level: int = logging.INFO) -> None:
+    """Send all events to standard error as JSON lines, from `level` upward."""
+    handler = logging.StreamHandler()
+    handler.setFormatter(JsonLines())
+    log.addHandler(handler)
+    log.setLevel(level)
+    log.propagate = False
--- /dev/null
+++ b/cactusvane/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The VMs of the fleet: membership, cells and keepers."""
--- /dev/null
+++ b/cactusvane/fleet/vm.py
@@ -0,0 +1,59 @@
+"""Machines as the platform's VM list shows them."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class VmState(Enum):
+    """What the list says of a VM."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Address:
+    """Where a process listens.
+
+    Examples
+    --------
+    >>> str(Address("127.0.0.1", 8080))
+    '127.0.0.1:8080'
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Vm:
+    """One row of the VM list.
+
+    Parameters
+    ----------
+    name
+        Name that is never used again for another VM.
+    address
+        Where it takes HTTP requests.
+    failure_domain
+        For example ``Gobabis``.
+    region
+        The region the failure domain belongs to.
+    service
+        The service whose target it is; empty for an entry VM of the fleet.
+    peer
+        Where an entry VM takes messages of other VMs.
+    state
+        Live or leaving.
+    """
+
+    name: str
+    address: Address
+    failure_domain: str
+    region: str = ""
+    service: str = ""
+    peer: Address | None = None
+    state: VmState = VmState.LIVE
--- /dev/null
+++ b/cactusvane/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP on both sides, through h11."""
--- /dev/null
+++ b/cactusvane/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between VMs over gRPC."""
--- /dev/null
+++ b/cactusvane/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's table, object store and VM list."""
--- /dev/null
+++ b/cactusvane/pool/__init__.py
@@ -0,0 +1,1 @@
+"""The targets of a service: evidence, ejection, floor, leaving and warm-up."""
--- /dev/null
+++ b/cactusvane/report/__init__.py
@@ -0,0 +1,1 @@
+"""The report on service-level burn."""
--- /dev/null
+++ b/cactusvane/request/__init__.py
@@ -0,0 +1,1 @@
+"""The life of one request: attempts, deadline and verdict."""
--- /dev/null
+++ b/cactusvane/settings.py
@@ -0,0 +1,81 @@
+"""Settings of one daemon, with every default in one place."""
+
+from dataclasses import dataclass, field
+from typing import Annotated, ClassVar
+
+from annotated_types import Ge, MinLen
+
+from cactusvane.configuration.model import STRICT
+from cactusvane.fleet.vm import Address
+
+
+@dataclass(frozen=True, slots=True)
+class HttpLimits:
+    """Bounds on what callers and targets may send.
+
+    Parameters
+    ----------
+    connections
+        Callers' connections at once.
+    head_bytes
+        Largest head of a request or an answer.
+    body_bytes
+        Largest body of a request.
+    buffer_bytes
+        Largest answer that is held whole; larger ones stream.
+    head_ms
+        Time for a caller to send a whole head.
+    body_ms
+        Time for a caller to send a whole body.
+    idle_ms
+        How long an idle connection is kept.
+    """
+
+    __pydantic_config__: ClassVar = STRICT
+
+    connections: Annotated[int, Ge(1)] = 2_000
+    head_bytes: Annotated[int, Ge(256)] = 16_384
+    body_bytes: Annotated[int, Ge(0)] = 1_048_576
+    buffer_bytes: Annotated[int, Ge(0)] = 262_144
+    head_ms: Annotated[int, Ge(1)] = 10_000
+    body_ms: Annotated[int, Ge(1)] = 30_000
+    idle_ms: Annotated[int, Ge(1)] = 60_000
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """All a daemon needs to know before it starts.
+
+    Parameters
+    ----------
+    vm
+        Name of this VM, never used again for another.
+    failure_domain
+        Where it stands.
+    region
+        The region of the failure domain.
+    listen
+        Where callers connect.
+    peer
+        Where other VMs connect.
+    admin
+        Where operators read status and metrics.
+    platform
+        Where the platform answers.
+    seed
+        Seed of all random choices.
+    """
+
+    __pydantic_config__: ClassVar = STRICT
+
+    vm: Annotated[str, MinLen(1)]
+    failure_domain: Annotated[str, MinLen(1)]
+    listen: Address
+    peer: Address
+    admin: Address
+    platform: Address
+    region: str = ""
+    seed: int = 0
+    vm_list_ms: Annotated[int, Ge(1)] = 1_000
+    head_ms: Annotated[int, Ge(1)] = 1_000
+    http: HttpLimits = field(default_factory=HttpLimits)
--- /dev/null
+++ b/cactusvane/slots/__init__.py
@@ -0,0 +1,1 @@
+"""Slots of targets: limits, credits and queues."""
--- /dev/null
+++ b/cactusvane/ui/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/cactusvane/ui/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command."""
