--- a/Makefile
+++ b/Makefile
@@ -5,37 +5,39 @@
 
 .PHONY: install check test demo bench-added bench-decisions bench-capacity soak lock generate
 
-install: $(STAMP)
+install:
+	@cmp -s requirements.lock $(STAMP) || $(MAKE) --no-print-directory $(STAMP)
 
-$(STAMP): requirements.lock
+.PHONY: install
+$(STAMP):
 	python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --require-hashes -r requirements.lock
-	touch $(STAMP)
+	cp requirements.lock $(STAMP)
 
-check: $(STAMP)
+check: install
 	$(PYTHON) -m black --check .
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m mypy
 
-test: $(STAMP)
+test: install
 	$(PYTHON) -m pytest
 
-demo: $(STAMP)
+demo: install
 	$(PYTHON) -m scripts.demo
 
-bench-added: $(STAMP)
+bench-added: install
 	$(PYTHON) -m bench.added
 
-bench-decisions: $(STAMP)
+bench-decisions: install
 	$(PYTHON) -m bench.decisions
 
-bench-capacity: $(STAMP)
+bench-capacity: install
 	$(PYTHON) -m bench.capacity
 
 SECONDS ?= 60
 SEED ?= 1
 
-soak: $(STAMP)
+soak: install
 	$(PYTHON) -m scripts.soak --seconds $(SECONDS) --seed $(SEED)
 
 lock:
