Name the messages between pools and keepers

Entries report counts of outcomes to the keeper of a service and hear typed ejections and returns with an expiry, so that a dead keeper costs quality only.

--- a/cactusvane/pool/messages.py
+++ b/cactusvane/pool/messages.py
@@ -63,7 +63,73 @@
     """Time passed; nothing else happened."""
 
 
-PoolEvent = TargetsListed | AttemptStarted | AttemptEnded | LeavingNoticed | Ticked
+@dataclass(frozen=True, slots=True)
+class ProbeEnded:
+    """A probe of a target's health endpoint ended; `healthy` is what it answered."""
+
+    target: Address
+    healthy: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Ejection:
+    """A keeper's decision that a target is sick.
+
+    Parameters
+    ----------
+    target
+        The sick target.
+    failure_domains
+        The observers' failure domains it holds for; empty for all.
+    hold_ms
+        No trial before this much time has passed.
+    expiry_ms
+        Without a repetition within this time the keeper counts as gone.
+    trial
+        Whether idempotent requests may try the target now.
+    reason
+        For the log.
+    """
+
+    target: Address
+    failure_domains: tuple[str, ...]
+    hold_ms: float
+    expiry_ms: float
+    trial: bool
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Return:
+    """A keeper's decision that a target is well again."""
+
+    target: Address
+
+
+@dataclass(frozen=True, slots=True)
+class EjectionHeard:
+    """A keeper's ejection, or its repetition, reached this VM."""
+
+    ejection: Ejection
+
+
+@dataclass(frozen=True, slots=True)
+class ReturnHeard:
+    """A keeper's return reached this VM."""
+
+    target: Address
+
+
+PoolEvent = (
+    TargetsListed
+    | AttemptStarted
+    | AttemptEnded
+    | LeavingNoticed
+    | ProbeEnded
+    | EjectionHeard
+    | ReturnHeard
+    | Ticked
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,4 +154,70 @@
     target: Address
 
 
-PoolCommand = CloseIdle | Ejected | Returned
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Ask a target's health endpoint; the answer comes back as `ProbeEnded`."""
+
+    target: Address
+
+
+@dataclass(frozen=True, slots=True)
+class TargetCounts:
+    """What one observer saw of one target since its last report.
+
+    Parameters
+    ----------
+    target
+        The target.
+    served, failed
+        Attempts by how they ended.
+    in_time, slow
+        Attempts by latency; a request in flight past the mark is slow at that moment.
+    trial
+        Whether the target was out and these were trials.
+    """
+
+    target: Address
+    served: int = 0
+    failed: int = 0
+    in_time: int = 0
+    slow: int = 0
+    trial: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ReportEvidence:
+    """Send these counts to the keeper of the service."""
+
+    service: str
+    counts: tuple[TargetCounts, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SelfSuspected:
+    """Most targets look unreachable from here, so the fault is likely this VM's own path."""
+
+    service: str
+
+
+@dataclass(frozen=True, slots=True)
+class SelfCleared:
+    """The suspicion against this VM's own path is over."""
+
+    service: str
+
+
+PoolCommand = CloseIdle | Ejected | Returned | Probe | ReportEvidence | SelfSuspected | SelfCleared
+
+
+@dataclass(frozen=True, slots=True)
+class EvidenceReported:
+    """An observer's counts reached the keeper."""
+
+    observer: str
+    failure_domain: str
+    counts: tuple[TargetCounts, ...]
+
+
+KeeperEvent = EvidenceReported | TargetsListed | Ticked
+KeeperCommand = Ejection | Return
