Add the target and forwarder stand-ins

Process tests need targets with slots, drain and gray failures, and one-way cuts. The ledger goes to a file line by line, so it outlives kill -9.

--- /dev/null
+++ b/standins/forwarder.py
@@ -0,0 +1,125 @@
+"""A TCP forwarder that loses one direction, delays, or cuts in mid-answer.
+
+``python -m standins.forwarder --port 9001 --control 9002 --to 127.0.0.1:8080``;
+``POST /behaviour`` on the control port changes members of `Behaviour`. Bytes of a lost
+direction are held, as TCP would send them again: they arrive late when the direction returns.
+"""
+
+import argparse
+import asyncio
+from dataclasses import dataclass, replace
+
+import msgspec
+
+from standins.server import READ_BYTES, Answer, Request, Service
+
+MS_PER_SECOND = 1000.0
+POLL_SECONDS = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class Behaviour:
+    """How bytes pass from now on.
+
+    Parameters
+    ----------
+    drop_up
+        Lose what the connecting side sends.
+    drop_down
+        Lose what the other side answers.
+    delay_ms
+        Delay of each piece.
+    cut_after
+        Cut each connection after this many answered bytes; -1 for never.
+    """
+
+    drop_up: bool = False
+    drop_down: bool = False
+    delay_ms: float = 0.0
+    cut_after: int = -1
+
+
+class Forwarder:
+    """Carry connections to one address."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self.host = host
+        self.port = port
+        self.behaviour = Behaviour()
+
+    async def control(self, request: Request) -> Answer:
+        """Change the behaviour, or show it."""
+        if request.method == "POST":
+            changes = msgspec.json.decode(request.body, type=dict[str, object])
+            changed = replace(self.behaviour, **changes)  # type: ignore[arg-type]
+            self.behaviour = msgspec.convert(msgspec.to_builtins(changed), Behaviour)
+        return Answer(200, msgspec.json.encode(self.behaviour))
+
+    async def connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Carry one connection both ways until one side closes."""
+        try:
+            far_reader, far_writer = await asyncio.open_connection(self.host, self.port)
+        except OSError:
+            writer.transport.abort()
+            return
+        pumps = (
+            asyncio.ensure_future(self.pump(reader, far_writer, upward=True)),
+            asyncio.ensure_future(self.pump(far_reader, writer, upward=False)),
+        )
+        await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        for task in pumps:
+            task.cancel()
+        for end in (writer, far_writer):
+            end.close()
+
+    async def pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, upward: bool
+    ) -> None:
+        """Carry one direction; a lost direction holds its bytes and its end."""
+        passed = 0
+        try:
+            while True:
+                data = await reader.read(READ_BYTES)
+                while self.lost(upward):
+                    await asyncio.sleep(POLL_SECONDS)
+                if self.behaviour.delay_ms:
+                    await asyncio.sleep(self.behaviour.delay_ms / MS_PER_SECOND)
+                if not data:
+                    return
+                limit = -1 if upward else self.behaviour.cut_after
+                if 0 <= limit < passed + len(data):
+                    writer.write(data[: max(0, limit - passed)])
+                    await writer.drain()
+                    return
+                passed += len(data)
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            return
+
+    def lost(self, upward: bool) -> bool:
+        """Say whether a direction is lost just now."""
+        return self.behaviour.drop_up if upward else self.behaviour.drop_down
+
+
+async def serve(options: argparse.Namespace) -> None:
+    """Forward until killed."""
+    host, _, port = options.to.rpartition(":")
+    forwarder = Forwarder(host, int(port))
+    service = Service(forwarder.control)
+    await asyncio.start_server(forwarder.connected, "127.0.0.1", options.port)
+    await asyncio.start_server(service.connected, "127.0.0.1", options.control)
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Read the arguments and serve."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--control", type=int, required=True)
+    parser.add_argument("--to", required=True)
+    asyncio.run(serve(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/server.py
@@ -0,0 +1,129 @@
+"""A small HTTP server for the stand-ins: one request at a time on each connection."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import h11
+
+READ_BYTES = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A whole request.
+
+    Parameters
+    ----------
+    method
+        In upper case.
+    path
+        With its query.
+    headers
+        Names in lower case.
+    body
+        All bytes of the body.
+    """
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer."""
+
+    status: int
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class Connection:
+    """One caller's connection, whose end can be seen while an answer is being made."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.http = h11.Connection(h11.SERVER)
+        self.pending: asyncio.Task[bytes] | None = None
+
+    def read_ahead(self) -> asyncio.Task[bytes]:
+        """Return the one outstanding read, which ends empty when the caller goes away."""
+        if self.pending is None:
+            self.pending = asyncio.ensure_future(self.reader.read(READ_BYTES))
+        return self.pending
+
+    async def receive(self) -> Request | None:
+        """Return the next request, or None when the caller is gone or sent no HTTP."""
+        if self.http.our_state is h11.MUST_CLOSE or self.http.our_state is h11.ERROR:
+            return None
+        if self.http.our_state is h11.DONE:
+            self.http.start_next_cycle()
+        head: h11.Request | None = None
+        body = bytearray()
+        while True:
+            try:
+                event = self.http.next_event()
+            except h11.RemoteProtocolError:
+                return None
+            if event is h11.NEED_DATA:
+                data = await self.read_ahead()
+                self.pending = None
+                self.http.receive_data(data)
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return as_request(head, bytes(body))
+            else:
+                return None
+
+    async def send(self, answer: Answer) -> None:
+        """Send a whole answer."""
+        self.writer.write(self.encode(answer))
+        await self.writer.drain()
+
+    def encode(self, answer: Answer) -> bytes:
+        """Return the bytes of a whole answer."""
+        headers = [("Content-Length", str(len(answer.body))), *answer.headers]
+        encoded = [(name.encode(), value.encode()) for name, value in headers]
+        head = self.http.send(h11.Response(status_code=answer.status, headers=encoded))
+        data = self.http.send(h11.Data(data=answer.body))
+        end = self.http.send(h11.EndOfMessage())
+        return (head or b"") + (data or b"") + (end or b"")
+
+    def close(self) -> None:
+        """Close the connection and forget the outstanding read."""
+        if self.pending is not None:
+            self.pending.cancel()
+        self.writer.close()
+
+
+def as_request(head: h11.Request, body: bytes) -> Request:
+    """Return h11's head and the body as one value."""
+    headers = {name.decode().lower(): value.decode() for name, value in head.headers}
+    return Request(head.method.decode(), head.target.decode(), headers, body)
+
+
+Handler = Callable[[Request], Awaitable[Answer]]
+
+
+@dataclass(slots=True)
+class Service:
+    """Serve whole requests with a handler."""
+
+    handler: Handler
+
+    async def connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer requests until the caller goes away."""
+        connection = Connection(reader, writer)
+        try:
+            while (request := await connection.receive()) is not None:
+                await connection.send(await self.handler(request))
+        except ConnectionError:
+            pass
+        finally:
+            connection.close()
--- /dev/null
+++ b/standins/target.py
@@ -0,0 +1,308 @@
+"""A target to send work to: slots, cold start, drain, and many ways to fail.
+
+``python -m standins.target --port 8080 --service records --slots 4``. Paths under
+``/_control/`` steer it: ``POST /_control/behaviour`` changes members of `Behaviour`,
+``GET /_control/ledger`` tells what it ran. The ledger file outlives the process.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import time
+from dataclasses import dataclass, replace
+
+import msgspec
+import xxhash
+
+from standins.server import Answer, Connection, Request
+
+CONTROL = "/_control/"
+MS_PER_SECOND = 1000.0
+MOST_FILLER_BYTES = 6_000
+COLD_FACTOR = 4.0
+"""How many times slower a cold target works at its start."""
+
+
+@dataclass(frozen=True, slots=True)
+class Behaviour:
+    """How the target behaves from now on; shares lie between 0 and 1, times are in ms.
+
+    Parameters
+    ----------
+    slots
+        Requests at once; one more is shed.
+    mean_ms
+        Mean of the exponential service time.
+    cold_ms
+        How long after its start the target is slow.
+    draining
+        Answer new work with 503 and start none.
+    healthy
+        What ``/health`` says, whatever is true.
+    fail_share
+        Requests that fail with 500 after the work.
+    flap_ms
+        Period of switching between failing all and failing none; 0 for never.
+    slow_factor
+        How many times slower than usual it works.
+    late_share
+        Requests answered `late_ms` after the work.
+    short_share
+        Answers that end before their announced length.
+    long_share
+        Answers followed by bytes that belong to none.
+    twice_share
+        Answers sent twice, the second `echo_ms` after the first.
+    garbage_share
+        Answers that are not HTTP.
+    cut_share
+        Requests that run, and whose connection then closes without an answer.
+    """
+
+    slots: int = 4
+    mean_ms: float = 25.0
+    cold_ms: float = 0.0
+    draining: bool = False
+    healthy: bool = True
+    fail_share: float = 0.0
+    flap_ms: float = 0.0
+    slow_factor: float = 1.0
+    late_share: float = 0.0
+    late_ms: float = 3_000.0
+    short_share: float = 0.0
+    long_share: float = 0.0
+    twice_share: float = 0.0
+    echo_ms: float = 5.0
+    garbage_share: float = 0.0
+    cut_share: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerLine:
+    """One thing that happened to one request.
+
+    Parameters
+    ----------
+    what
+        ``received``, ``started``, ``ended``, ``answered``, ``cancelled``, ``shed`` or ``drained``.
+    request_id
+        The caller's ``Request-Id``.
+    key
+        The caller's ``Idempotency-Key``, or empty.
+    at
+        Seconds since the epoch.
+    """
+
+    what: str
+    request_id: str
+    key: str
+    method: str
+    at: float
+
+
+def answer_body(request_id: str) -> bytes:
+    """Return the one right body for a request; its length depends on the id.
+
+    Examples
+    --------
+    >>> answer_body("a") == answer_body("b")
+    False
+    """
+    digest = xxhash.xxh64(request_id.encode())
+    length = digest.intdigest() % MOST_FILLER_BYTES
+    line = f"{request_id} {digest.hexdigest()}\n".encode()
+    return line + (line * (length // len(line) + 1))[:length]
+
+
+class Ledger:
+    """What the target ran, in memory and, given a path, in a file that outlives it."""
+
+    def __init__(self, path: str) -> None:
+        self.lines: list[LedgerLine] = []
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        self.file = os.open(path, flags, 0o644) if path else None
+
+    def write(self, what: str, request: Request) -> None:
+        """Add a line; it is in the file before this returns."""
+        request_id = request.headers.get("request-id", "")
+        key = request.headers.get("idempotency-key", "")
+        line = LedgerLine(what, request_id, key, request.method, time.time())
+        self.lines.append(line)
+        if self.file is not None:
+            os.write(self.file, msgspec.json.encode(line) + b"\n")
+
+
+class Target:
+    """The target's state and its way with each request."""
+
+    def __init__(self, behaviour: Behaviour, seed: int, ledger: Ledger) -> None:
+        self.behaviour = behaviour
+        self.random = random.Random(seed)
+        self.ledger = ledger
+        self.busy = 0
+        self.started_at = time.monotonic()
+
+    async def connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer requests on one connection until either side has had enough."""
+        connection = Connection(reader, writer)
+        try:
+            while (request := await connection.receive()) is not None:
+                if not await self.serve(connection, request):
+                    return
+        except ConnectionError:
+            pass
+        finally:
+            connection.close()
+
+    async def serve(self, connection: Connection, request: Request) -> bool:
+        """Answer one request; return whether the connection goes on."""
+        if request.path.startswith(CONTROL):
+            await connection.send(self.control(request))
+            return True
+        if request.path == "/health":
+            await connection.send(Answer(200 if self.behaviour.healthy else 503))
+            return True
+        self.ledger.write("received", request)
+        refusal = self.refusal(request)
+        if refusal is not None:
+            await connection.send(refusal)
+            return True
+        return await self.run(connection, request)
+
+    def refusal(self, request: Request) -> Answer | None:
+        """Return the answer to a request that is not started, or None to start it."""
+        if self.behaviour.draining:
+            self.ledger.write("drained", request)
+            return Answer(503, b"draining", (("Cactusvane-Draining", "1"),))
+        if self.busy >= self.behaviour.slots:
+            self.ledger.write("shed", request)
+            return Answer(503, b"full", (("Cactusvane-Shed", "1"),))
+        return None
+
+    async def run(self, connection: Connection, request: Request) -> bool:
+        """Do the work in a slot, unless the caller of idempotent work goes away."""
+        self.ledger.write("started", request)
+        self.busy += 1
+        work = asyncio.ensure_future(asyncio.sleep(self.service_ms(request) / MS_PER_SECOND))
+        try:
+            if request.method == "GET":
+                gone = connection.read_ahead()
+                await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
+                if not work.done() and gone.result() == b"":
+                    work.cancel()
+                    self.ledger.write("cancelled", request)
+                    return False
+            await work
+            self.ledger.write("ended", request)
+        finally:
+            self.busy -= 1
+        return await self.answer(connection, request)
+
+    def service_ms(self, request: Request) -> float:
+        """Draw a service time; idempotent work stops at its deadline."""
+        now = self.behaviour
+        ms = self.random.expovariate(1.0 / now.mean_ms) * now.slow_factor
+        age_ms = (time.monotonic() - self.started_at) * MS_PER_SECOND
+        if age_ms < now.cold_ms:
+            ms *= COLD_FACTOR
+        if self.random.random() < now.late_share:
+            ms += now.late_ms
+        deadline = request.headers.get("cactusvane-deadline-ms", "")
+        if request.method == "GET" and deadline.isdigit():
+            ms = min(ms, float(deadline))
+        return ms
+
+    def status(self) -> int:
+        """Return 200, or 500 where the target fails just now."""
+        now = self.behaviour
+        flap_on = now.flap_ms > 0 and (time.monotonic() * MS_PER_SECOND // now.flap_ms) % 2 == 0
+        fails = flap_on or self.random.random() < now.fail_share
+        return 500 if fails else 200
+
+    async def answer(self, connection: Connection, request: Request) -> bool:
+        """Send the answer, in one of the wrong ways where `Behaviour` says so."""
+        request_id = request.headers.get("request-id", "")
+        data = connection.encode(Answer(self.status(), answer_body(request_id)))
+        goes_on = await self.send(connection.writer, data)
+        self.ledger.write("answered", request)
+        return goes_on
+
+    async def send(self, writer: asyncio.StreamWriter, data: bytes) -> bool:
+        """Write an answer's bytes as drawn; return whether the connection goes on."""
+        now = self.behaviour
+        draw = self.random.random()
+        for share, wrong in (
+            (now.short_share, data[: len(data) // 2]),
+            (now.garbage_share, b"\x00\xffnot an answer\r\n\r\n"),
+            (now.cut_share, b""),
+        ):
+            if draw < share:
+                writer.write(wrong)
+                await writer.drain()
+                return False
+            draw -= share
+        writer.write(data)
+        if draw < now.long_share:
+            writer.write(data[len(data) // 3 :])
+        elif draw < now.long_share + now.twice_share:
+            await asyncio.sleep(now.echo_ms / MS_PER_SECOND)
+            writer.write(data)
+        await writer.drain()
+        return True
+
+    def control(self, request: Request) -> Answer:
+        """Answer a request of the test that steers this target."""
+        match request.method, request.path.removeprefix(CONTROL):
+            case "POST", "behaviour":
+                changes = msgspec.json.decode(request.body, type=dict[str, object])
+                changed = replace(self.behaviour, **changes)  # type: ignore[arg-type]
+                self.behaviour = msgspec.convert(msgspec.to_builtins(changed), Behaviour)
+                return Answer(200, msgspec.json.encode(self.behaviour))
+            case "GET", "ledger":
+                return Answer(200, msgspec.json.encode(self.ledger.lines))
+            case "GET", "busy":
+                return Answer(200, str(self.busy).encode())
+            case _:
+                return Answer(404)
+
+    async def stop(self) -> None:
+        """Start no new work and wait for the work in hand."""
+        self.behaviour = replace(self.behaviour, draining=True)
+        while self.busy:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+
+
+async def serve(options: argparse.Namespace) -> None:
+    """Listen until SIGTERM or SIGINT, then drain."""
+    behaviour = Behaviour(slots=options.slots, mean_ms=options.mean_ms, cold_ms=options.cold_ms)
+    target = Target(behaviour, options.seed, Ledger(options.ledger))
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await asyncio.start_server(target.connected, options.host, options.port)
+    await stop.wait()
+    await target.stop()
+
+
+def main() -> None:
+    """Read the arguments and serve."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--service", default="")
+    parser.add_argument("--slots", type=int, default=4)
+    parser.add_argument("--mean-ms", type=float, default=25.0)
+    parser.add_argument("--cold-ms", type=float, default=0.0)
+    parser.add_argument("--seed", type=int, default=0)
+    parser.add_argument("--ledger", default="")
+    with contextlib.suppress(asyncio.CancelledError):
+        asyncio.run(serve(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/standins/test_target.py
@@ -0,0 +1,101 @@
+"""The target stand-in does to its callers what the process tests rely on."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import h11
+import pytest
+
+from standins.forwarder import Behaviour as Path
+from standins.forwarder import Forwarder
+from standins.target import Behaviour, Ledger, Target, answer_body
+
+
+@asynccontextmanager
+async def listening(connected):
+    server = await asyncio.start_server(connected, "127.0.0.1", 0)
+    try:
+        yield server.sockets[0].getsockname()[1]
+    finally:
+        server.close()
+
+
+async def ask(port, request_id, method="GET"):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    http = h11.Connection(h11.CLIENT)
+    headers = [("Host", "a"), ("Request-Id", request_id), ("Connection", "close")]
+    if method == "POST":
+        headers.append(("Content-Length", "0"))
+    writer.write(http.send(h11.Request(method=method, target="/", headers=headers)))
+    writer.write(http.send(h11.EndOfMessage()) or b"")
+    status, body = 0, b""
+    try:
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await reader.read(65536))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+            else:
+                return status, body
+    finally:
+        writer.close()
+
+
+def target(**behaviour):
+    return Target(Behaviour(mean_ms=1.0, **behaviour), 1, Ledger(""))
+
+
+def whats(stand_in):
+    return [line.what for line in stand_in.ledger.lines]
+
+
+def test_whole_answer_and_ledger():
+    async def run():
+        stand_in = target()
+        async with listening(stand_in.connected) as port:
+            assert await ask(port, "r1") == (200, answer_body("r1"))
+        assert whats(stand_in) == ["received", "started", "ended", "answered"]
+
+    asyncio.run(run())
+
+
+def test_sheds_and_drains_without_starting():
+    async def run():
+        full = target(slots=0)
+        drained = target(draining=True)
+        async with listening(full.connected) as port, listening(drained.connected) as other:
+            assert (await ask(port, "r1"))[0] == 503
+            assert (await ask(other, "r2"))[0] == 503
+        assert whats(full) == ["received", "shed"]
+        assert whats(drained) == ["received", "drained"]
+
+    asyncio.run(run())
+
+
+def test_short_answer_is_broken():
+    async def run():
+        async with listening(target(short_share=1.0).connected) as port:
+            with pytest.raises(h11.RemoteProtocolError):
+                await ask(port, "r1")
+
+    asyncio.run(run())
+
+
+def test_one_way_cut_holds_the_answer_until_healed():
+    async def run():
+        stand_in = target()
+        async with listening(stand_in.connected) as port:
+            forwarder = Forwarder("127.0.0.1", port)
+            forwarder.behaviour = Path(drop_down=True)
+            async with listening(forwarder.connected) as front:
+                asking = asyncio.ensure_future(ask(front, "r1"))
+                while "answered" not in whats(stand_in):
+                    await asyncio.sleep(0.005)
+                assert not asking.done()
+                forwarder.behaviour = Path()
+                assert await asking == (200, answer_body("r1"))
+
+    asyncio.run(run())
