--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,166 @@
+"""A small stand-in for the platform's service, over HTTP and JSON, with faults.
+
+Run it with ``python -m standins.platform --port 7000``. Paths: ``GET /table/T/K``,
+``POST /transactions``, ``PUT`` and ``GET /objects/D``, ``GET`` and ``POST /vms``,
+``POST /faults`` and ``GET /counters``; the last two work while the platform is "down".
+"""
+
+import argparse
+import asyncio
+import contextlib
+from dataclasses import dataclass, replace
+
+import h11
+import msgspec
+
+from cactusvane.clock import MS_PER_SECOND, Clock
+from cactusvane.platform.messages import Transaction, VmList
+from standins.store import Counters, Faults, Store
+
+READ_BYTES = 65_536
+WRITING = ("POST", "PUT")
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A request read whole."""
+
+    method: str
+    path: tuple[str, ...]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A status and a body."""
+
+    status: int
+    body: bytes = b"{}"
+
+
+class PlatformServer:
+    """Answers HTTP requests from a `Store`, with the faults that were asked for."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.store = Store()
+        self.faults = Faults()
+        self.counters = Counters()
+
+    async def serve_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection until either side closes it."""
+        connection = h11.Connection(h11.SERVER)
+        with contextlib.suppress(OSError, h11.ProtocolError):
+            while request := await read_request(reader, connection):
+                answer = await self.answer(request)
+                if answer is None:
+                    break
+                writer.write(encode(connection, answer))
+                await writer.drain()
+                if connection.our_state is not h11.DONE:
+                    break
+                connection.start_next_cycle()
+        writer.close()
+
+    async def answer(self, request: Request) -> Answer | None:
+        """Return the answer, or None where the caller gets none."""
+        match request.method, request.path:
+            case "POST", ("faults",):
+                self.faults = msgspec.json.decode(request.body, type=Faults)
+                return Answer(200)
+            case "GET", ("counters",):
+                return Answer(200, msgspec.json.encode(self.counters))
+        if self.faults.down:
+            self.counters.refused += 1
+            return None
+        if self.faults.slow_ms:
+            await asyncio.sleep(self.faults.slow_ms / MS_PER_SECOND)
+        return self.answer_with_effect(request)
+
+    def answer_with_effect(self, request: Request) -> Answer | None:
+        """Do what is asked; the answer of a write may get lost afterwards."""
+        writes = request.method in WRITING
+        self.counters.writes += writes
+        self.counters.reads += not writes
+        try:
+            answer = self.apply(request)
+        except msgspec.DecodeError as error:
+            return Answer(400, str(error).encode())
+        if writes and self.faults.lose_answers > 0:
+            self.faults = replace(self.faults, lose_answers=self.faults.lose_answers - 1)
+            return None
+        return answer
+
+    def apply(self, request: Request) -> Answer:
+        """Read or change the store."""
+        match request.method, request.path:
+            case "GET", ("table", table, key):
+                row = self.store.read(table, key)
+                return Answer(200, msgspec.json.encode(row)) if row else Answer(404)
+            case "POST", ("transactions",):
+                transaction = msgspec.json.decode(request.body, type=Transaction)
+                conflict = self.store.commit(transaction.writes)
+                return Answer(409, msgspec.json.encode(conflict)) if conflict else Answer(200)
+            case "PUT", ("objects", digest):
+                self.store.objects[digest] = request.body
+                return Answer(200)
+            case "GET", ("objects", digest):
+                data = self.store.objects.get(digest)
+                return Answer(404) if data is None else Answer(200, data)
+            case "GET", ("vms",):
+                vms = self.store.list_vms(self.clock.now(), self.faults.list_lag_ms)
+                return Answer(200, msgspec.json.encode(VmList(vms)))
+            case "POST", ("vms",):
+                listed = msgspec.json.decode(request.body, type=VmList)
+                self.store.register(listed.vms, listed.removed, self.clock.now())
+                return Answer(200)
+        return Answer(404)
+
+
+async def read_request(reader: asyncio.StreamReader, connection: h11.Connection) -> Request | None:
+    """Read one request whole, or return None when the caller has closed."""
+    method, target, parts = "", "", []
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Request):
+            method, target = event.method.decode(), event.target.decode()
+        elif isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            return Request(method, tuple(target.strip("/").split("/")), b"".join(parts))
+        else:
+            return None
+
+
+def encode(connection: h11.Connection, answer: Answer) -> bytes:
+    """Return the answer's bytes."""
+    headers = [("Content-Length", str(len(answer.body)))]
+    head = connection.send(h11.Response(status_code=answer.status, headers=headers))
+    data = connection.send(h11.Data(data=answer.body)) or b""
+    return (head or b"") + data + (connection.send(h11.EndOfMessage()) or b"")
+
+
+async def serve(host: str, port: int) -> None:
+    """Listen until cancelled."""
+    platform = PlatformServer(Clock())
+    server = await asyncio.start_server(platform.serve_connection, host, port)
+    async with server:
+        await server.serve_forever()
+
+
+def main() -> None:
+    """Run the stand-in from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    arguments = parser.parse_args()
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(serve(arguments.host, arguments.port))
+
+
+if __name__ == "__main__":
+    main()
