--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 install:
 	@cmp -s requirements.lock $(STAMP) || $(MAKE) --no-print-directory $(STAMP)
 
-.PHONY: install
+.PHONY: $(STAMP)
 $(STAMP):
 	python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --require-hashes -r requirements.lock
--- a/cactusvane/clock.py
+++ b/cactusvane/clock.py
@@ -19,6 +19,10 @@
         """
         return time.monotonic_ns() / NS_PER_MS
 
+    def wall(self) -> float:
+        """Return the time of day, which may jump, in milliseconds since the epoch."""
+        return time.time_ns() / NS_PER_MS
+
 
 class ManualClock(Clock):
     """A clock that moves only when told to, for tests and benches.
@@ -38,6 +42,10 @@
         """Return the moment the clock was moved to, in milliseconds."""
         return self.now_ms
 
+    def wall(self) -> float:
+        """Return the moment the clock was moved to, in milliseconds."""
+        return self.now_ms
+
     def advance(self, ms: float) -> None:
         """Move the clock forward by `ms` milliseconds."""
         self.now_ms += ms
--- a/cactusvane/platform/interface.py
+++ b/cactusvane/platform/interface.py
@@ -39,6 +39,9 @@
     async def read(self, table: str, key: str) -> Row | None:
         """Return a row, or None where there is none."""
 
+    async def scan(self, table: str, first: str) -> tuple[Row, ...]:
+        """Return all rows of a table whose key is `first` or sorts after it, in order."""
+
     async def commit(self, writes: tuple[Write, ...]) -> None:
         """Do all writes or none; raise `WriteConflictError` if a version differs."""
 
