--- a/cactusvane/report/burn.py
+++ b/cactusvane/report/burn.py
@@ -11,7 +11,7 @@
 
 from cactusvane.clock import MS_PER_SECOND
 from cactusvane.configuration.model import Configuration, Objective, Service
-from cactusvane.report.ledger import BUCKET_MS, Bucket, bucket_start
+from cactusvane.report.ledger import BUCKET_MS, Bucket
 
 MINUTE_MS = 60 * MS_PER_SECOND
 HOUR_MS = 60 * MINUTE_MS
@@ -198,8 +198,8 @@
     key = (service.name, objective)
 
     def over(ms: float) -> WindowBurn:
-        first = bucket_start(at_ms - ms)
-        return window(tuple(b for b in buckets if b.start_ms > first), key, ms)
+        recent = tuple(b for b in buckets if b.start_ms + BUCKET_MS > at_ms - ms)
+        return window(recent, key, ms)
 
     fast_long, fast_short = over(FAST.long_ms), over(FAST.short_ms)
     slow_long, slow_short = over(SLOW.long_ms), over(SLOW.short_ms)
