--- /dev/null
+++ b/cactusvane/fleet/membership.py
@@ -0,0 +1,470 @@
+"""Which VMs of the fleet are alive, as one VM believes; no sockets and no wall clock.
+
+Failure detection by direct and indirect probes, dissemination by gossip and refutation by
+incarnation numbers follow SWIM [1]_; here each VM probes only a few neighbours on a hash ring, the
+platform's VM list is the seed, and a digest exchange heals what gossip missed.
+
+References
+----------
+.. [1] A. Das, I. Gupta, A. Motivala, "SWIM: scalable weakly-consistent infection-style process
+   group membership protocol", DSN 2002.
+"""
+
+from dataclasses import dataclass, replace
+from math import ceil, log2
+from random import Random
+
+import xxhash
+
+from cactusvane.configuration.model import Head
+from cactusvane.fleet.messages import (
+    Ack,
+    Body,
+    Envelope,
+    FleetCommand,
+    FleetEvent,
+    HeadHeard,
+    HeadInForce,
+    Listed,
+    Member,
+    MembersChanged,
+    Ping,
+    PingRequest,
+    Received,
+    Rumor,
+    SeedsGiven,
+    Send,
+    Status,
+    Stopping,
+    Sync,
+    Ticked,
+)
+from cactusvane.fleet.vm import Address, Vm, VmState
+
+NEVER = float("-inf")
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipSettings:
+    """Times in milliseconds and bounds of the membership protocol.
+
+    Parameters
+    ----------
+    neighbours
+        VMs that one VM probes in turn.
+    helpers
+        VMs asked to probe when a direct probe had no answer.
+    probe_ms
+        Time between two probes.
+    ack_ms
+        Wait for a direct answer, and again for an indirect one.
+    suspect_ms
+        Time that a suspect has to refute before it counts as dead.
+    gossip_ms
+        Time between two rounds of gossip while there is something to tell.
+    fanout
+        Receivers of one round.
+    updates
+        Most updates in one message.
+    sync_ms
+        Time between two digest exchanges.
+    frozen_ms
+        A gap between ticks longer than this means that this VM stood still.
+    forget_ms
+        How long a dead member that is not listed is remembered.
+    """
+
+    neighbours: int = 3
+    helpers: int = 3
+    probe_ms: float = 500.0
+    ack_ms: float = 250.0
+    suspect_ms: float = 2_000.0
+    gossip_ms: float = 250.0
+    fanout: int = 2
+    updates: int = 12
+    sync_ms: float = 10_000.0
+    frozen_ms: float = 1_000.0
+    forget_ms: float = 120_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """A probe that waits for its answer."""
+
+    target: str
+    expires_ms: float
+    indirect: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Relay:
+    """A probe made on behalf of another VM."""
+
+    origin: Address
+    nonce: int
+    expires_ms: float
+
+
+def fingerprint(member: Member) -> int:
+    """Return a 64-bit hash of a belief, for digests."""
+    text = f"{member.vm.name}\0{member.incarnation}\0{member.status.value}"
+    return xxhash.xxh64_intdigest(text.encode())
+
+
+def is_live(member: Member) -> bool:
+    """Say whether a member may keep cells."""
+    return member.status in (Status.ALIVE, Status.SUSPECT) and member.vm.state is VmState.LIVE
+
+
+class Membership:
+    """The members of the fleet, as this VM believes.
+
+    Parameters
+    ----------
+    vm
+        This VM; `Vm.peer` must be set.
+    random
+        Source of all random choices.
+    settings
+        Times and bounds.
+    """
+
+    def __init__(self, vm: Vm, random: Random, settings: MembershipSettings | None = None) -> None:
+        self.random = random
+        self.settings = settings or MembershipSettings()
+        self.name = vm.name
+        self.members: dict[str, Member] = {vm.name: Member(vm)}
+        self.listed: frozenset[str] = frozenset()
+        self.seeds: tuple[Address, ...] = ()
+        self.head: Head | None = None
+        self.digest = fingerprint(self.me)
+        self.deadlines: dict[str, float] = {}
+        self.rumors: dict[str, int] = {}
+        self.head_sends = 0
+        self.probes: dict[int, Probe] = {}
+        self.relays: dict[int, Relay] = {}
+        self.nonce = 0
+        self.turn = 0
+        self.last_tick = NEVER
+        self.next_probe = NEVER
+        self.next_gossip = NEVER
+        self.next_sync = NEVER
+        self.changed = False
+        self.ring: list[Member] | None = None
+
+    @property
+    def me(self) -> Member:
+        """Own VM as it sees itself."""
+        return self.members[self.name]
+
+    def live(self) -> tuple[Vm, ...]:
+        """Return the VMs that may keep cells, this one among them, in order of name."""
+        found = [member.vm for member in self.members.values() if is_live(member)]
+        return tuple(sorted(found, key=lambda vm: vm.name))
+
+    def handle(self, event: FleetEvent, now: float) -> tuple[FleetCommand, ...]:
+        """Take in one event.
+
+        Parameters
+        ----------
+        event
+            What happened.
+        now
+            Milliseconds of the process's clock.
+
+        Returns
+        -------
+        tuple of FleetCommand
+            What the caller has to do, in order.
+        """
+        self.changed = False
+        commands: list[FleetCommand] = []
+        match event:
+            case Listed(vms):
+                self.take_list(vms, now)
+            case SeedsGiven(peers):
+                self.seeds = tuple(peer for peer in peers if peer != self.me.vm.peer)
+            case Received(envelope):
+                commands.extend(self.receive(envelope, now))
+            case HeadInForce(head):
+                self.take_head(head)
+            case Stopping():
+                commands.extend(self.stop(now))
+            case Ticked():
+                commands.extend(self.tick(now))
+        if self.changed:
+            commands.append(MembersChanged())
+        return tuple(commands)
+
+    def take_list(self, vms: tuple[Vm, ...], now: float) -> None:
+        """Take in the platform's list: new names join, missing ones come under suspicion."""
+        before = self.listed
+        self.listed = frozenset(vm.name for vm in vms)
+        for vm in vms:
+            known = self.members.get(vm.name)
+            if known is None:
+                self.believe(Member(vm), now)
+            elif vm != known.vm and vm.name != self.name:
+                self.store(replace(known, vm=vm))
+        for name in before - self.listed:
+            gone = self.members.get(name)
+            if gone is not None and name != self.name and gone.status is Status.ALIVE:
+                self.believe(replace(gone, status=Status.SUSPECT), now)
+
+    def take_head(self, head: Head) -> bool:
+        """Remember a higher head and spread it; say whether it was higher."""
+        if self.head is not None and head.version <= self.head.version:
+            return False
+        self.head = head
+        self.head_sends = self.spread_limit()
+        return True
+
+    def receive(self, envelope: Envelope, now: float) -> list[FleetCommand]:
+        """Take in a message and answer it."""
+        commands: list[FleetCommand] = []
+        sender = envelope.sender
+        peer = sender.vm.peer
+        if sender.vm.name == self.name or peer is None:
+            return commands
+        self.believe(sender, now)
+        for update in envelope.updates:
+            self.believe(update, now)
+        if envelope.head is not None and self.take_head(envelope.head):
+            commands.append(HeadHeard(envelope.head, sender.vm))
+            commands.extend(self.gossip())
+        commands.extend(self.answer(envelope.body, sender, peer, now))
+        return commands
+
+    def answer(self, body: Body, sender: Member, peer: Address, now: float) -> list[FleetCommand]:
+        """Do what the body of a message asks for."""
+        match body:
+            case Ping(nonce):
+                return [self.send(peer, Ack(nonce), self.correction(sender))]
+            case Ack(nonce):
+                return self.acknowledge(nonce)
+            case PingRequest(nonce, target):
+                self.nonce += 1
+                self.relays[self.nonce] = Relay(peer, nonce, now + self.settings.ack_ms)
+                return [self.send(target, Ping(self.nonce))]
+            case Sync(digest) if digest != self.digest:
+                return [self.send(peer, Rumor(), tuple(self.members.values()))]
+            case _:
+                return []
+
+    def correction(self, sender: Member) -> tuple[Member, ...]:
+        """Return what is held against a sender, so that it can refute it."""
+        belief = self.members[sender.vm.name]
+        return (belief,) if belief.overrides(sender) else ()
+
+    def acknowledge(self, nonce: int) -> list[FleetCommand]:
+        """Settle a probe, or pass the answer on to the VM that asked for it."""
+        self.probes.pop(nonce, None)
+        relay = self.relays.pop(nonce, None)
+        if relay is None:
+            return []
+        return [self.send(relay.origin, Ack(relay.nonce))]
+
+    def believe(self, update: Member, now: float) -> None:
+        """Take over a belief if it is newer than what is held."""
+        name = update.vm.name
+        known = self.members.get(name)
+        if name == self.name:
+            self.refute(update)
+            return
+        if known is None:
+            if update.status in (Status.DEAD, Status.LEFT) or update.vm.peer is None:
+                return
+        elif not update.overrides(known):
+            return
+        self.store(update)
+        self.rumors[name] = self.spread_limit()
+        self.set_deadline(update, now)
+
+    def set_deadline(self, member: Member, now: float) -> None:
+        """Set when a belief turns into the next one by itself."""
+        name = member.vm.name
+        match member.status:
+            case Status.ALIVE:
+                self.deadlines.pop(name, None)
+            case Status.SUSPECT:
+                self.deadlines[name] = now + self.settings.suspect_ms
+            case Status.DEAD | Status.LEFT:
+                self.deadlines[name] = now + self.settings.forget_ms
+
+    def refute(self, update: Member) -> None:
+        """Raise the own incarnation where others hold something against this VM."""
+        if self.me.status is Status.LEFT or not update.overrides(self.me):
+            return
+        self.store(replace(self.me, incarnation=update.incarnation + 1))
+        self.rumors[self.name] = self.spread_limit()
+
+    def store(self, member: Member) -> None:
+        """Put a belief in place."""
+        name = member.vm.name
+        known = self.members.get(name)
+        if known is not None:
+            self.digest ^= fingerprint(known)
+        self.digest ^= fingerprint(member)
+        self.members[name] = member
+        self.changed |= known is None or is_live(known) != is_live(member) or known.vm != member.vm
+        self.ring = None
+
+    def forget(self, name: str) -> None:
+        """Drop a member."""
+        self.digest ^= fingerprint(self.members.pop(name))
+        self.rumors.pop(name, None)
+        self.ring = None
+
+    def spread_limit(self) -> int:
+        """Return how often one update is sent on, for the present size of the fleet."""
+        return 2 * ceil(log2(len(self.members) + 1))
+
+    def tick(self, now: float) -> list[FleetCommand]:
+        """Do what is due."""
+        if now - self.last_tick > self.settings.frozen_ms and self.last_tick != NEVER:
+            self.wake(now)
+        self.last_tick = now
+        commands = self.expire_probes(now)
+        self.expire_beliefs(now)
+        if now >= self.next_probe:
+            self.next_probe = now + self.settings.probe_ms
+            commands.extend(self.probe(now))
+        if now >= self.next_gossip and (self.rumors or self.head_sends):
+            self.next_gossip = now + self.settings.gossip_ms
+            commands.extend(self.gossip())
+        if now >= self.next_sync:
+            self.next_sync = now + self.settings.sync_ms * self.random.uniform(0.75, 1.25)
+            commands.extend(self.sync())
+        return commands
+
+    def wake(self, now: float) -> None:
+        """Distrust what was pending while this VM stood still, and ask others for news."""
+        self.probes.clear()
+        self.relays.clear()
+        for name, member in self.members.items():
+            if member.status is Status.SUSPECT:
+                self.deadlines[name] = now + self.settings.suspect_ms
+        self.next_sync = now
+
+    def expire_probes(self, now: float) -> list[FleetCommand]:
+        """Turn unanswered probes into indirect ones, and those into suspicion."""
+        commands: list[FleetCommand] = []
+        for nonce, relay in list(self.relays.items()):
+            if now >= relay.expires_ms:
+                del self.relays[nonce]
+        for nonce, probe in list(self.probes.items()):
+            if now < probe.expires_ms:
+                continue
+            del self.probes[nonce]
+            target = self.members.get(probe.target)
+            if target is None or target.status is not Status.ALIVE:
+                continue
+            if probe.indirect:
+                self.believe(replace(target, status=Status.SUSPECT), now)
+            else:
+                commands.extend(self.probe_indirectly(nonce, target, now))
+        return commands
+
+    def probe_indirectly(self, nonce: int, target: Member, now: float) -> list[FleetCommand]:
+        """Ask helpers to probe; with none, the direct probe counts as indirect."""
+        expires = now + self.settings.ack_ms
+        self.probes[nonce] = Probe(target.vm.name, expires, indirect=True)
+        peer = target.vm.peer
+        if peer is None:
+            return []
+        helpers = self.sample(self.settings.helpers, exclude=target.vm.name)
+        return [self.send(helper, PingRequest(nonce, peer)) for helper in helpers]
+
+    def expire_beliefs(self, now: float) -> None:
+        """Turn old suspicion into death, and forget old deaths."""
+        if not self.deadlines:
+            return
+        for name, deadline in list(self.deadlines.items()):
+            if now < deadline:
+                continue
+            del self.deadlines[name]
+            member = self.members.get(name)
+            if member is None:
+                continue
+            if member.status is Status.SUSPECT:
+                self.believe(replace(member, status=Status.DEAD), now)
+            elif name in self.listed:
+                self.set_deadline(member, now)
+            else:
+                self.forget(name)
+
+    def neighbours(self) -> list[Member]:
+        """Return the members that this VM probes: its successors on the hash ring."""
+        if self.ring is None:
+            present = [m for m in self.members.values() if m.status.value < Status.DEAD.value]
+            present.sort(key=lambda member: xxhash.xxh64_intdigest(member.vm.name.encode()))
+            names = [member.vm.name for member in present]
+            at = names.index(self.name) + 1 if self.name in names else 0
+            self.ring = (present[at:] + present[: max(0, at - 1)])[: self.settings.neighbours]
+        return self.ring
+
+    def probe(self, now: float) -> list[FleetCommand]:
+        """Probe the next neighbour."""
+        ring = self.neighbours()
+        if not ring:
+            return [self.send(seed, Sync(self.digest)) for seed in self.seeds]
+        self.turn += 1
+        target = ring[self.turn % len(ring)]
+        if target.vm.peer is None:
+            return []
+        self.nonce += 1
+        self.probes[self.nonce] = Probe(target.vm.name, now + self.settings.ack_ms)
+        extra = (target,) if target.status is Status.SUSPECT else ()
+        return [self.send(target.vm.peer, Ping(self.nonce), extra)]
+
+    def gossip(self) -> list[FleetCommand]:
+        """Tell a few members what is new."""
+        return [self.send(peer, Rumor()) for peer in self.sample(self.settings.fanout)]
+
+    def sync(self) -> list[FleetCommand]:
+        """Compare digests with a member picked among all, so that healed cuts are found."""
+        peers = self.sample(1) + self.sample(1, dead=True)
+        return [self.send(peer, Sync(self.digest), tuple(self.against(peer))) for peer in peers]
+
+    def against(self, peer: Address) -> list[Member]:
+        """Return the belief that the member at `peer` should refute, if any."""
+        return [
+            member
+            for member in self.members.values()
+            if member.vm.peer == peer and member.status in (Status.SUSPECT, Status.DEAD)
+        ]
+
+    def sample(self, count: int, exclude: str = "", dead: bool = False) -> list[Address]:
+        """Return the addresses of up to `count` random members."""
+        wanted = (Status.DEAD,) if dead else (Status.ALIVE,)
+        found = [
+            member.vm.peer
+            for name, member in self.members.items()
+            if name not in (self.name, exclude)
+            and member.status in wanted
+            and member.vm.peer is not None
+        ]
+        return self.random.sample(found, min(count, len(found)))
+
+    def stop(self, now: float) -> list[FleetCommand]:
+        """Say goodbye, so that nobody has to find out by probing."""
+        self.store(replace(self.me, status=Status.LEFT))
+        return [self.send(peer, Rumor()) for peer in self.sample(2 * self.settings.fanout)]
+
+    def send(self, to: Address, body: Body, extra: tuple[Member, ...] = ()) -> Send:
+        """Return a message with as many updates as fit."""
+        updates = extra + self.take_updates(self.settings.updates - len(extra))
+        if self.head_sends:
+            self.head_sends -= 1
+        return Send(to, Envelope(self.me, body, updates, self.head))
+
+    def take_updates(self, count: int) -> tuple[Member, ...]:
+        """Return the updates that were sent least often, and count this sending."""
+        if count <= 0 or not self.rumors:
+            return ()
+        names = sorted(self.rumors, key=lambda name: -self.rumors[name])[:count]
+        for name in names:
+            self.rumors[name] -= 1
+            if self.rumors[name] <= 0:
+                del self.rumors[name]
+        return tuple(self.members[name] for name in names)
--- /dev/null
+++ b/tests/fleet/test_membership.py
@@ -0,0 +1,95 @@
+from cactusvane.configuration.model import Head
+from cactusvane.fleet.messages import HeadInForce, Listed, SeedsGiven, Status, Stopping
+from cactusvane.fleet.vm import Address
+from tests.fleet.net import Net, make_vm
+
+
+def peer(number: int) -> Address:
+    return Address("127.0.0.1", 20_000 + number)
+
+
+def test_dead_vm_leaves_every_view():
+    net = Net(9)
+    net.run(2_000)
+    del net.nodes[peer(4)]
+    net.run(8_000)
+    (view,) = net.views()
+    assert "vm-4" not in view
+    assert len(view) == 8
+
+
+def test_healthy_fleet_suspects_nobody():
+    net = Net(12)
+    net.run(30_000)
+    assert net.views() == {tuple(sorted(f"vm-{n}" for n in range(12)))}
+    assert all(m.incarnation == 0 for node in net.nodes.values() for m in node.members.values())
+
+
+def test_one_way_cut_between_two_vms_ejects_nobody():
+    net = Net(9)
+    net.cut = lambda source, to: (source, to) == (peer(1), peer(2))
+    net.run(60_000)
+    (view,) = net.views()
+    assert len(view) == 9
+
+
+def test_frozen_vm_wakes_and_is_member_again():
+    net = Net(9)
+    net.run(1_000)
+    net.frozen.add(peer(3))
+    net.run(15_000)
+    assert "vm-3" not in next(iter(net.views()))
+    net.frozen.clear()
+    net.run(8_000)
+    (view,) = net.views()
+    assert len(view) == 9
+
+
+def test_partition_heals_without_a_new_list():
+    net = Net(9)
+    inside = {peer(n) for n in (0, 3, 6)}
+    net.cut = lambda source, to: (source in inside) != (to in inside)
+    net.run(20_000)
+    assert len(net.views()) == 2
+    net.cut = lambda source, to: False
+    net.run(40_000)
+    (view,) = net.views()
+    assert len(view) == 9
+
+
+def test_vm_joins_by_seed_while_there_is_no_list():
+    net = Net(6)
+    net.add(make_vm(6)).handle(SeedsGiven((peer(0),)), net.now)
+    net.run(5_000)
+    (view,) = net.views()
+    assert len(view) == 7
+
+
+def test_head_reaches_all_and_never_goes_back():
+    net = Net(12)
+    head = Head(7, "digest", "publish")
+    net.nodes[peer(0)].handle(HeadInForce(head), net.now)
+    net.nodes[peer(1)].handle(HeadInForce(Head(6, "old", "older")), net.now)
+    net.run(2_000)
+    assert {node.head for node in net.nodes.values()} == {head}
+
+
+def test_goodbye_spreads_without_probing():
+    net = Net(9)
+    net.run(1_000)
+    net.deliver(peer(5), net.nodes.pop(peer(5)).handle(Stopping(), net.now))
+    net.run(1_000)
+    (view,) = net.views()
+    assert len(view) == 8
+
+
+def test_vm_off_the_list_but_alive_stays():
+    net = Net(6)
+    net.run(500)
+    short = tuple(make_vm(n) for n in range(5))
+    for node in net.nodes.values():
+        node.handle(Listed(short), net.now)
+    net.run(6_000)
+    (view,) = net.views()
+    assert "vm-5" in view
+    assert net.nodes[peer(0)].members["vm-5"].status is Status.ALIVE
