--- a/cactusvane/platform/client.py
+++ b/cactusvane/platform/client.py
@@ -10,7 +10,7 @@
 from cactusvane.errors import NotFoundError, PlatformUnavailableError, WriteConflictError
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.platform.interface import Row, Write
-from cactusvane.platform.messages import Transaction, VmList
+from cactusvane.platform.messages import Rows, Transaction, VmList
 
 OK = 200
 NOT_FOUND = 404
@@ -42,6 +42,11 @@
             return None
         return decode(body, Row)
 
+    async def scan(self, table: str, first: str) -> tuple[Row, ...]:
+        """Return all rows of a table whose key is `first` or sorts after it, in order."""
+        _, body = await self.exchange("GET", f"/scan/{table}/{first}")
+        return decode(body, Rows).rows
+
     async def commit(self, writes: tuple[Write, ...]) -> None:
         """Do all writes or none; raise `WriteConflictError` if a version differs."""
         data = msgspec.json.encode(Transaction(writes))
--- a/cactusvane/platform/messages.py
+++ b/cactusvane/platform/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from cactusvane.fleet.vm import Vm
-from cactusvane.platform.interface import Write
+from cactusvane.platform.interface import Row, Write
 
 
 @dataclass(frozen=True, slots=True)
@@ -13,6 +13,13 @@
     writes: tuple[Write, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Rows:
+    """Answer to ``GET /scan/T/FIRST``."""
+
+    rows: tuple[Row, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class VmList:
     """Answer to ``GET /vms``, and body of ``POST /vms``, which replaces VMs by name."""
--- a/cactusvane/report/store.py
+++ b/cactusvane/report/store.py
@@ -16,9 +16,9 @@
     Examples
     --------
     >>> row_key(Bucket("entry-1", 300_000.0, ()))
-    '000000000300000/entry-1'
+    '000000000300000-entry-1'
     """
-    return f"{int(bucket.start_ms):0{START_DIGITS}d}/{bucket.vm}"
+    return f"{int(bucket.start_ms):0{START_DIGITS}d}-{bucket.vm}"
 
 
 async def flush(ledger: Ledger, platform: Platform, wall_ms: float) -> int:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,8 +1,8 @@
 """A small stand-in for the platform's service, over HTTP and JSON, with faults.
 
 Run it with ``python -m standins.platform --port 7000``. Paths: ``GET /table/T/K``,
-``POST /transactions``, ``PUT`` and ``GET /objects/D``, ``GET`` and ``POST /vms``,
-``POST /faults`` and ``GET /counters``; the last two work while the platform is "down".
+``GET /scan/T/FIRST``, ``POST /transactions``, ``PUT`` and ``GET /objects/D``, ``GET`` and
+``POST /vms``, ``POST /faults`` and ``GET /counters``; the last two work while the platform is "down".
 """
 
 import argparse
@@ -14,7 +14,7 @@
 import msgspec
 
 from cactusvane.clock import MS_PER_SECOND, Clock
-from cactusvane.platform.messages import Transaction, VmList
+from cactusvane.platform.messages import Rows, Transaction, VmList
 from standins.store import Counters, Faults, Store
 
 READ_BYTES = 65_536
@@ -99,6 +99,8 @@
             case "GET", ("table", table, key):
                 row = self.store.read(table, key)
                 return Answer(200, msgspec.json.encode(row)) if row else Answer(404)
+            case "GET", ("scan", table, first):
+                return Answer(200, msgspec.json.encode(Rows(self.store.scan(table, first))))
             case "POST", ("transactions",):
                 transaction = msgspec.json.decode(request.body, type=Transaction)
                 conflict = self.store.commit(transaction.writes)
--- a/standins/store.py
+++ b/standins/store.py
@@ -57,6 +57,11 @@
         """Return a row, or None where there is none."""
         return self.rows.get((table, key))
 
+    def scan(self, table: str, first: str) -> tuple[Row, ...]:
+        """Return the rows of a table from key `first` on, in the order of their keys."""
+        rows = [row for row in self.rows.values() if row.table == table and row.key >= first]
+        return tuple(sorted(rows, key=lambda row: row.key))
+
     def conflict(self, writes: tuple[Write, ...]) -> Write | None:
         """Return the first write whose expected version does not stand."""
         for write in writes:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -34,6 +34,10 @@
         self.begin(write=False)
         return self.store.read(table, key)
 
+    async def scan(self, table: str, first: str) -> tuple[Row, ...]:
+        self.begin(write=False)
+        return self.store.scan(table, first)
+
     async def commit(self, writes: tuple[Write, ...]) -> None:
         self.begin(write=True)
         conflict = self.store.commit(writes)
