--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,7 +2,8 @@
 
 Run it with ``python -m standins.platform --port 7000``. Paths: ``GET /table/T/K``,
 ``GET /scan/T/FIRST``, ``POST /transactions``, ``PUT`` and ``GET /objects/D``, ``GET`` and
-``POST /vms``, ``POST /faults`` and ``GET /counters``; the last two work while the platform is "down".
+``POST /vms``, ``POST /faults`` and ``GET /counters``; the last two work while the
+platform is "down".
 """
 
 import argparse
