Start real processes from a harness, and count verdicts from ledgers

The promises need verdicts that do not rest on the daemons' own word. Callers keep what they were told, targets keep what they started, and the counting compares both.

--- /dev/null
+++ b/tests/processes/harness.py
@@ -0,0 +1,318 @@
+"""Start the system's processes and stand-ins, disturb them, and end exactly what was started."""
+
+import asyncio
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager, suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import msgspec
+
+from tests.processes.callers import Callers, Reply, ask
+from tests.processes.verdicts import Disturbance, Ledgers, PlannedStop, read_ledgers
+
+ROOT = Path(__file__).resolve().parents[2]
+FIRST_PORT, LAST_PORT = 20_000, 32_000
+START_SECONDS = 20.0
+STOP_SECONDS = 20.0
+POLL_SECONDS = 0.05
+BALANCER_SECONDS = 0.5
+
+taken_ports: set[int] = set()
+port_draws = random.Random(os.getpid())
+
+
+def free_port() -> int:
+    """Return a port below the ephemeral range that nobody listens on."""
+    while True:
+        port = port_draws.randrange(FIRST_PORT, LAST_PORT)
+        if port in taken_ports:
+            continue
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            taken_ports.add(port)
+            return port
+
+
+@dataclass(slots=True)
+class Process:
+    """One process that the harness started."""
+
+    name: str
+    popen: "subprocess.Popen[bytes]"
+    port: int
+    log: Path
+    admin: int = 0
+    forwarder_control: int = 0
+    listed: dict[str, object] = field(default_factory=dict)
+
+    def alive(self) -> bool:
+        """Say whether it still runs."""
+        return self.popen.poll() is None
+
+    def send(self, number: int) -> None:
+        """Send a signal if it still runs."""
+        if self.alive():
+            self.popen.send_signal(number)
+
+
+class Fleet:
+    """A platform, targets and entries on loopback, for one test or one run of a script."""
+
+    def __init__(self, directory: Path) -> None:
+        self.directory = directory
+        self.processes: dict[str, Process] = {}
+        self.entries: dict[str, Process] = {}
+        self.targets: dict[str, Process] = {}
+        self.platform_port = 0
+        self.faults: dict[str, object] = {}
+        self.stops: list[PlannedStop] = []
+        self.disturbances: list[Disturbance] = []
+        self.in_balancer: dict[str, int] = {}
+
+    def start(self, name: str, port: int, *arguments: str) -> Process:
+        """Start ``python -m arguments`` with its output in a file."""
+        log = self.directory / f"{name}.log"
+        with log.open("wb") as output:
+            popen = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                start_new_session=True,
+            )
+        process = Process(name, popen, port, log)
+        self.processes[name] = process
+        return process
+
+    def close(self) -> None:
+        """Kill whatever still runs, by its own handle, and wait for it."""
+        for process in self.processes.values():
+            process.send(signal.SIGKILL)
+        for process in self.processes.values():
+            process.popen.wait(STOP_SECONDS)
+
+    async def start_platform(self) -> None:
+        """Start the platform stand-in and wait until it answers."""
+        self.platform_port = free_port()
+        port = str(self.platform_port)
+        self.start("platform", self.platform_port, "standins.platform", "--port", port)
+        await self.answers("platform", self.platform_port, "/vms")
+
+    async def start_target(
+        self,
+        service: str,
+        failure_domain: str,
+        slots: int = 4,
+        mean_ms: float = 25.0,
+        cold_ms: float = 0.0,
+        forwarded: bool = False,
+    ) -> str:
+        """Start a target, put it on the VM list and return its name."""
+        name = f"{service}-{len(self.targets)}"
+        port = free_port()
+        process = self.start(
+            name,
+            port,
+            *("standins.target", "--port", str(port), "--service", service),
+            *("--slots", str(slots), "--mean-ms", str(mean_ms), "--cold-ms", str(cold_ms)),
+            *("--seed", str(len(self.targets))),
+            *("--ledger", str(self.directory / f"{name}.ledger")),
+        )
+        self.targets[name] = process
+        address = await self.forward(process) if forwarded else port
+        await self.answers(name, port, "/health")
+        process.listed = vm(name, address, failure_domain, service)
+        await self.register(process.listed)
+        return name
+
+    async def forward(self, process: Process) -> int:
+        """Put a forwarder before a process and return the forwarder's port."""
+        front, process.forwarder_control = free_port(), free_port()
+        name = f"forwarder-{process.name}"
+        self.start(
+            name,
+            front,
+            *("standins.forwarder", "--port", str(front)),
+            *("--control", str(process.forwarder_control), "--to", f"127.0.0.1:{process.port}"),
+        )
+        await self.answers(name, process.forwarder_control, "/behaviour")
+        return front
+
+    async def start_entry(
+        self, failure_domain: str, name: str = "", ready: bool = True, **settings: object
+    ) -> str:
+        """Start a daemon, put it on the VM list and return its name."""
+        name = name or f"entry-{len(self.entries)}"
+        listen, peer, admin = free_port(), free_port(), free_port()
+        path = self.directory / f"{name}.json"
+        values = {
+            "vm": name,
+            "failure_domain": failure_domain,
+            "listen": at(listen),
+            "peer": at(peer),
+            "admin": at(admin),
+            "platform": at(self.platform_port),
+            "seed": len(self.entries),
+            **settings,
+        }
+        path.write_bytes(msgspec.json.encode(values))
+        process = self.start(name, listen, "cactusvane.daemon", str(path))
+        process.admin = admin
+        process.listed = {**vm(name, listen, failure_domain, ""), "peer": at(peer)}
+        self.entries[name] = process
+        with suppress(OSError):
+            await self.register(process.listed)
+        if ready:
+            await self.answers(name, admin, "/ready")
+            self.in_balancer[name] = listen
+        return name
+
+    async def answers(self, name: str, port: int, path: str) -> None:
+        """Wait until a process answers 200, or raise with the end of its log."""
+        until = time.monotonic() + START_SECONDS
+        while time.monotonic() < until and self.processes[name].alive():
+            with suppress(OSError, TimeoutError):
+                if (await ask(port, "GET", path)).status == 200:
+                    return
+            await asyncio.sleep(POLL_SECONDS)
+        tail = self.processes[name].log.read_text(errors="replace")[-2_000:]
+        raise AssertionError(f"{name} did not answer {path}:\n{tail}")
+
+    async def register(self, *vms: dict[str, object], removed: tuple[str, ...] = ()) -> None:
+        """Change rows of the VM list."""
+        body = msgspec.json.encode({"vms": vms, "removed": removed})
+        await ask(self.platform_port, "POST", "/vms", body)
+
+    async def platform(self, **faults: object) -> None:
+        """Put faults into the platform; none means that all is well again."""
+        await ask(self.platform_port, "POST", "/faults", msgspec.json.encode(faults))
+
+    async def behave(self, target: str, **behaviour: object) -> None:
+        """Change how a target behaves."""
+        body = msgspec.json.encode(behaviour)
+        reply = await ask(self.targets[target].port, "POST", "/_control/behaviour", body)
+        assert reply.status == 200, reply
+
+    async def path_to(self, name: str, **behaviour: object) -> None:
+        """Change how a forwarder carries bytes to a process."""
+        control = self.processes[name].forwarder_control
+        reply = await ask(control, "POST", "/behaviour", msgspec.json.encode(behaviour))
+        assert reply.status == 200, reply
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once."""
+        now = time.time()
+        self.disturbances.append(Disturbance(name, now, now))
+        self.processes[name].send(signal.SIGKILL)
+
+    @contextmanager
+    def frozen(self, name: str) -> Iterator[None]:
+        """Freeze a process for the length of the block."""
+        start = time.time()
+        self.processes[name].send(signal.SIGSTOP)
+        try:
+            yield
+        finally:
+            self.processes[name].send(signal.SIGCONT)
+            self.disturbances.append(Disturbance(name, start, time.time() + 1.0))
+
+    async def leave_by_list(self, target: str) -> None:
+        """Mark a target as leaving on the VM list."""
+        self.stops.append(PlannedStop(target, time.time()))
+        await self.register({**self.targets[target].listed, "state": "leaving"})
+
+    async def leave_by_answer(self, target: str) -> None:
+        """Let a target say itself that it is leaving."""
+        self.stops.append(PlannedStop(target, time.time()))
+        await self.behave(target, draining=True)
+
+    async def stop(self, name: str) -> int:
+        """Stop a process with SIGTERM and return its exit code."""
+        if name in self.entries:
+            self.stops.append(PlannedStop(name, time.time()))
+            self.in_balancer.pop(name, None)
+        process = self.processes[name]
+        process.send(signal.SIGTERM)
+        return await asyncio.to_thread(process.popen.wait, STOP_SECONDS)
+
+    async def balance(self) -> None:
+        """Keep the list of ready entries up to date, a little late, as a balancer does."""
+        while True:
+            await asyncio.sleep(BALANCER_SECONDS)
+            for name, entry in list(self.entries.items()):
+                if entry.alive() and await is_ready(entry.admin):
+                    self.in_balancer[name] = entry.port
+                else:
+                    self.in_balancer.pop(name, None)
+
+    def callers(self, seed: int, leave_share: float = 0.0) -> Callers:
+        """Return callers that use this fleet's ready entries."""
+        return Callers(lambda: self.in_balancer, seed, leave_share)
+
+    def ledgers(self) -> Ledgers:
+        """Read the targets' ledgers."""
+        return read_ledgers(self.directory)
+
+    async def publish(self, directory: Path, *options: str) -> "subprocess.CompletedProcess[str]":
+        """Publish a directory of operators' files with the command line."""
+        platform = f"127.0.0.1:{self.platform_port}"
+        arguments = ["publish", str(directory), "--platform", platform, *options]
+        return await asyncio.to_thread(run_command, arguments)
+
+    async def status(self, entry: str) -> Reply:
+        """Read an entry's status page."""
+        return await ask(self.entries[entry].admin, "GET", "/status")
+
+
+def run_command(arguments: list[str]) -> "subprocess.CompletedProcess[str]":
+    """Run the command line and return its exit code and output."""
+    command = [sys.executable, "-m", "cactusvane.ui", *arguments]
+    return subprocess.run(
+        command, cwd=ROOT, capture_output=True, text=True, timeout=START_SECONDS, check=False
+    )
+
+
+async def is_ready(admin: int) -> bool:
+    """Ask an entry whether it is ready, and do not wait long."""
+    try:
+        async with asyncio.timeout(BALANCER_SECONDS):
+            return (await ask(admin, "GET", "/ready")).status == 200
+    except (OSError, TimeoutError):
+        return False
+
+
+def at(port: int) -> dict[str, object]:
+    """Return a loopback address as settings files write it."""
+    return {"host": "127.0.0.1", "port": port}
+
+
+def vm(name: str, port: int, failure_domain: str, service: str) -> dict[str, object]:
+    """Return a row of the VM list."""
+    return {
+        "name": name,
+        "address": at(port),
+        "failure_domain": failure_domain,
+        "region": "omaheke",
+        "service": service,
+    }
+
+
+@asynccontextmanager
+async def fleet() -> AsyncIterator[Fleet]:
+    """Give a fleet whose processes and files are gone at the end of the block."""
+    with TemporaryDirectory(prefix="cactusvane-") as directory:
+        running = Fleet(Path(directory))
+        try:
+            yield running
+        finally:
+            running.close()
--- /dev/null
+++ b/tests/processes/services.py
@@ -0,0 +1,87 @@
+"""Operators' files for the tests: the worked examples, scaled to one machine."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from tests.processes.callers import Kind
+
+ROOT = Path(__file__).resolve().parents[2]
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceFile:
+    """One operators' file as the test publishes it."""
+
+    values: dict[str, Any]
+
+    @property
+    def name(self) -> str:
+        """The service's name."""
+        return str(self.values["name"])
+
+    @property
+    def targets(self) -> int:
+        """How many targets the service has."""
+        return int(self.values["targets"])
+
+    @property
+    def slots(self) -> int:
+        """Requests that a target runs at once."""
+        return int(self.values["slots"])
+
+    def kinds(self) -> tuple[Kind, ...]:
+        """Return a kind of request for each route; what is not idempotent carries a key."""
+        return tuple(
+            Kind(
+                self.name,
+                self.values["hosts"][0],
+                route["path"],
+                route["methods"][0],
+                route["kind"],
+                keyed=not route["idempotent"],
+            )
+            for route in self.values["routes"]
+            if (route["methods"][0] == "GET") == route["idempotent"]
+        )
+
+    def write(self, directory: Path) -> None:
+        """Write the file into a directory to publish."""
+        directory.mkdir(exist_ok=True)
+        data = msgspec.json.format(msgspec.json.encode(self.values))
+        (directory / f"{self.name}.json").write_bytes(data)
+
+
+def example(name: str, most_targets: int) -> tuple[ServiceFile, ...]:
+    """Read ``examples/NAME`` with at most so many targets a service, floors in proportion."""
+    files = sorted((ROOT / "examples" / name).glob("*.json"))
+    decoded = [msgspec.json.decode(path.read_bytes()) for path in files]
+    return tuple(ServiceFile(scaled(values, most_targets)) for values in decoded)
+
+
+def scaled(values: dict[str, Any], most_targets: int) -> dict[str, Any]:
+    """Return an operators' file with fewer targets."""
+    whole = values["targets"]
+    targets = min(whole, most_targets)
+    floor = max(1, values["floor"] * targets // whole)
+    return {**values, "targets": targets, "floor": floor}
+
+
+def service(name: str, targets: int, floor: int, **members: object) -> ServiceFile:
+    """Return a service with lookups, which are idempotent, and bookings, which are not."""
+    routes = [
+        {"path": "/lookups", "methods": ["GET"], "idempotent": True, "kind": "lookup"},
+        {"path": "/bookings", "methods": ["POST"], "idempotent": False, "kind": "booking"},
+    ]
+    values: dict[str, Any] = {
+        "name": name,
+        "hosts": [f"{name}.example"],
+        "routes": routes,
+        "targets": targets,
+        "floor": floor,
+        "slots": 4,
+        "warm_up_ms": 0,
+    }
+    return ServiceFile({**values, **members})
