--- a/cactusvane/platform/client.py
+++ b/cactusvane/platform/client.py
@@ -1,21 +1,26 @@
 """The platform over HTTP and JSON."""
 
-import asyncio
 from typing import TypeVar
 
-import h11
 import msgspec
 
-from cactusvane.clock import MS_PER_SECOND
-from cactusvane.errors import NotFoundError, PlatformUnavailableError, WriteConflictError
+from cactusvane.errors import (
+    ExchangeError,
+    NotFoundError,
+    PlatformUnavailableError,
+    WriteConflictError,
+)
 from cactusvane.fleet.vm import Address, Vm
+from cactusvane.http.client import fetch
 from cactusvane.platform.interface import Row, Write
 from cactusvane.platform.messages import Rows, Transaction, VmList
+from cactusvane.settings import HttpLimits
 
 OK = 200
 NOT_FOUND = 404
 CONFLICT = 409
-READ_BYTES = 65_536
+OBJECT_BYTES = 64 * 1_048_576
+LIMITS = HttpLimits(body_bytes=OBJECT_BYTES)
 
 T = TypeVar("T")
 
@@ -84,14 +89,12 @@
             If no whole answer came in time or the status is another one.
         """
         try:
-            async with asyncio.timeout(self.timeout_ms / MS_PER_SECOND):
-                status, answer = await exchange(self.address, method, path, body)
-        except (OSError, TimeoutError, h11.ProtocolError) as error:
-            reason = str(error) or "no answer in time"
-            raise PlatformUnavailableError(f"platform at {self.address}: {reason}") from error
-        if status not in (OK, NOT_FOUND, CONFLICT):
-            raise PlatformUnavailableError(f"platform at {self.address} answered {status}")
-        return status, answer
+            answer = await fetch(self.address, method, path, (), body, self.timeout_ms, LIMITS)
+        except ExchangeError as error:
+            raise PlatformUnavailableError(f"platform at {self.address}: {error}") from error
+        if answer.status not in (OK, NOT_FOUND, CONFLICT):
+            raise PlatformUnavailableError(f"platform at {self.address} answered {answer.status}")
+        return answer.status, answer.body
 
 
 def decode(body: bytes, kind: type[T]) -> T:
@@ -100,42 +103,3 @@
         return msgspec.json.decode(body, type=kind)
     except msgspec.DecodeError as error:
         raise PlatformUnavailableError(f"the platform's answer is unreadable: {error}") from error
-
-
-async def exchange(address: Address, method: str, path: str, body: bytes) -> tuple[int, bytes]:
-    """Send one request on a connection of its own and read the whole answer."""
-    reader, writer = await asyncio.open_connection(address.host, address.port)
-    try:
-        connection = h11.Connection(h11.CLIENT)
-        headers = [
-            ("Host", str(address)),
-            ("Connection", "close"),
-            ("Content-Length", str(len(body))),
-        ]
-        head = connection.send(h11.Request(method=method, target=path, headers=headers))
-        data = connection.send(h11.Data(data=body)) if body else b""
-        end = connection.send(h11.EndOfMessage())
-        writer.write((head or b"") + (data or b"") + (end or b""))
-        return await read_answer(reader, connection)
-    finally:
-        writer.close()
-
-
-async def read_answer(
-    reader: asyncio.StreamReader, connection: h11.Connection
-) -> tuple[int, bytes]:
-    """Read until the end of the message; a cut answer raises `h11.RemoteProtocolError`."""
-    status = 0
-    parts: list[bytes] = []
-    while True:
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            connection.receive_data(await reader.read(READ_BYTES))
-        elif isinstance(event, h11.Response):
-            status = event.status_code
-        elif isinstance(event, h11.Data):
-            parts.append(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
-            return status, b"".join(parts)
-        else:
-            raise ConnectionResetError("the platform closed the connection")
