--- a/cactusvane/configuration/check.py
+++ b/cactusvane/configuration/check.py
@@ -4,9 +4,8 @@
 import json
 from collections.abc import Iterator
 from dataclasses import dataclass
-from functools import cache
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import TypeVar
 
 from cactusvane.configuration.model import Configuration, Service
 from cactusvane.errors import ServiceFileError
@@ -40,31 +39,22 @@
     remedy: str
 
 
-@cache
-def adapter(kind: Any) -> Any:
-    """Return the checker of `kind`; pydantic is imported only when one is needed."""
-    from pydantic import TypeAdapter
-
-    return TypeAdapter(kind)
-
-
 def parse(file: str, data: bytes, kind: type[T]) -> T:
-    """Parse JSON strictly as `kind`.
+    """Parse JSON strictly as `kind`; pydantic is imported only here, for daemons start without it.
 
     Raises
     ------
     ServiceFileError
         Names the file, the path in it, the value, and what would do.
     """
-    from pydantic import ValidationError
+    from pydantic import TypeAdapter, ValidationError
 
     try:
-        checked: T = adapter(kind).validate_json(data)
+        return TypeAdapter(kind).validate_json(data)
     except ValidationError as error:
         first = error.errors(include_url=False, include_context=False)[0]
         fault = Fault(locate(first["loc"]), first["input"], remedy(first["type"], first["msg"]))
         raise to_error(file, fault) from None
-    return checked
 
 
 def remedy(kind: str, message: str) -> str:
--- a/cactusvane/platform/client.py
+++ b/cactusvane/platform/client.py
@@ -49,7 +49,7 @@
 
     async def scan(self, table: str, first: str) -> tuple[Row, ...]:
         """Return all rows of a table whose key is `first` or sorts after it, in order."""
-        _, body = await self.exchange("GET", f"/scan/{table}/{first}")
+        body = await self.demand("GET", f"/scan/{table}/{first}")
         return decode(body, Rows).rows
 
     async def commit(self, writes: tuple[Write, ...]) -> None:
@@ -58,10 +58,12 @@
         status, body = await self.exchange("POST", "/transactions", data)
         if status == CONFLICT:
             raise WriteConflictError(body.decode(errors="replace"))
+        if status != OK:
+            raise PlatformUnavailableError(f"platform at {self.address} answered {status}")
 
     async def put_object(self, digest: str, data: bytes) -> None:
         """Store an object under its content digest."""
-        await self.exchange("PUT", f"/objects/{digest}", data)
+        await self.demand("PUT", f"/objects/{digest}", data)
 
     async def get_object(self, digest: str) -> bytes:
         """Return an object; raise `NotFoundError` if there is none."""
@@ -72,9 +74,16 @@
 
     async def list_vms(self) -> tuple[Vm, ...]:
         """Return the VM list, which lags."""
-        _, body = await self.exchange("GET", "/vms")
+        body = await self.demand("GET", "/vms")
         return decode(body, VmList).vms
 
+    async def demand(self, method: str, path: str, body: bytes = b"") -> bytes:
+        """Do one exchange that a platform in order always grants, and return the body."""
+        status, answer = await self.exchange(method, path, body)
+        if status != OK:
+            raise PlatformUnavailableError(f"platform at {self.address} answered {status}")
+        return answer
+
     async def exchange(self, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
         """Do one exchange.
 
