Add the server side of HTTP, the attempts of a request, and unused target connections

Late or doubled answers can land under the next request of a reused connection, and HTTP/1.1 has nothing to tell them apart. Resting a connection before reuse was ruled out: it narrows the window and proves nothing. Each exchange has a connection of its own, opened ahead of need. Pipelined requests that came in one segment were left waiting; a test holds it.

--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -38,6 +38,8 @@
     DAEMON_READY = EventKind(1002, logging.INFO, "{vm} is ready with configuration {version}")
     DAEMON_DRAINING = EventKind(1003, logging.INFO, "{vm} takes no new connections")
     DAEMON_STOPPED = EventKind(1004, logging.INFO, "{vm} stopped")
+    HTTP_HANDLER_FAILED = EventKind(1101, logging.ERROR, "a request met an internal error: {error}")
+    HTTP_SEND_FAILED = EventKind(1102, logging.ERROR, "an answer could not be sent: {error}")
 
 
 class JsonLines(logging.Formatter):
--- /dev/null
+++ b/cactusvane/http/check.py
@@ -0,0 +1,75 @@
+"""Strict checks on a request's head, beyond those that h11 makes."""
+
+import re
+
+import h11
+
+from cactusvane.errors import RequestError
+from cactusvane.http.message import find_header
+from cactusvane.verdict import Verdict
+
+AMBIGUOUS_ESCAPE = re.compile(
+    r"%(?:00|2[defDEF]|3[0-9]|4[1-9a-fA-F]|5[0-9aAcCfF]|6[1-9a-fA-F]|7[0-9aAeE]|(?![0-9a-fA-F]{2}))"
+)
+"""Escapes of unreserved characters, slashes and NUL, and escapes that are none (RFC 3986, 2.3)."""
+
+DOT_SEGMENTS = frozenset({".", ".."})
+
+
+def bad_request(code: str, text: str, status: int = 400) -> RequestError:
+    """Return the error for a request that no target has seen."""
+    return RequestError(status, code, text, Verdict.NOT_RUN)
+
+
+def check_head(head: h11.Request) -> None:
+    """Refuse a head that two programs could read in two ways.
+
+    Parameters
+    ----------
+    head
+        As parsed by h11, which refuses bad syntax and conflicting lengths itself.
+
+    Raises
+    ------
+    RequestError
+        Status 400.
+    """
+    headers = list(head.headers)
+    length = find_header(headers, b"content-length")
+    coding = find_header(headers, b"transfer-encoding")
+    if length is not None and coding is not None:
+        raise bad_request("two-framings", "both content-length and transfer-encoding")
+    if coding is not None and head.http_version < b"1.1":
+        raise bad_request("two-framings", "transfer-encoding in HTTP/1.0")
+    check_target(head.target.decode("latin-1"))
+
+
+def check_target(target: str) -> None:
+    """Refuse a target whose path could match one route here and another at the target.
+
+    Raises
+    ------
+    RequestError
+        Status 400.
+
+    Examples
+    --------
+    >>> check_target("/records/7?full=a/../b")
+    >>> check_target("/records/../booking")
+    Traceback (most recent call last):
+    ...
+    cactusvane.errors.RequestError: the path is ambiguous: /records/../booking
+    """
+    path = target.partition("?")[0]
+    segments = path.split("/")
+    ambiguous = (
+        not path.startswith("/")
+        or "\\" in target
+        or "#" in target
+        or ";" in path
+        or "" in segments[1:-1]
+        or not DOT_SEGMENTS.isdisjoint(segments)
+        or ("%" in path and AMBIGUOUS_ESCAPE.search(path) is not None)
+    )
+    if ambiguous or not target.isascii():
+        raise bad_request("bad-path", f"the path is ambiguous: {path}")
--- /dev/null
+++ b/cactusvane/http/connection.py
@@ -0,0 +1,166 @@
+"""Connections to targets, opened ahead of need and used for one exchange each.
+
+HTTP/1.1 names no exchange in its answers, so a target that answers late, twice or at too great a
+length could put its answer under the next request of a reused connection. None is reused.
+"""
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass, field
+
+from cactusvane.clock import MS_PER_SECOND, Clock
+from cactusvane.errors import ConnectError
+from cactusvane.fleet.vm import Address
+from cactusvane.http.client import ClientConnection, connect
+from cactusvane.settings import HttpLimits
+
+MOST_SPARES = 4
+"""Connections to one target that are open and unused at most."""
+
+SPARE_MS = 5_000
+"""Age at which an unused connection is closed."""
+
+VERIFIED_MS = 1_000
+"""Age below which a connection counts as just verified."""
+
+CONNECT_MS = 1_000
+"""Time for opening a connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class Spare:
+    """An unused connection and when it was opened, in milliseconds."""
+
+    connection: ClientConnection
+    opened: float
+
+
+@dataclass(slots=True)
+class TargetState:
+    """What is open to one target.
+
+    Attributes
+    ----------
+    spares
+        Unused connections, oldest first.
+    wanted
+        How many spares to hold.
+    opening
+        How many spares are being opened.
+    used
+        When a connection was last taken, in milliseconds.
+    """
+
+    spares: deque[Spare] = field(default_factory=deque)
+    wanted: int = 1
+    opening: int = 0
+    used: float = 0.0
+
+
+class TargetConnections:
+    """Hands out connections that have carried nothing yet.
+
+    Parameters
+    ----------
+    limits
+        Bounds for the connections.
+    clock
+        The process's clock.
+    """
+
+    def __init__(self, limits: HttpLimits, clock: Clock) -> None:
+        self.limits = limits
+        self.clock = clock
+        self.targets: dict[Address, TargetState] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def take(self, target: Address, verified: bool) -> ClientConnection:
+        """Return an open connection to `target`.
+
+        Parameters
+        ----------
+        target
+            Where to connect.
+        verified
+            Whether the connection must be younger than `VERIFIED_MS`, so that a target which
+            cannot be reached is more often noticed before anything is sent.
+
+        Raises
+        ------
+        ConnectError
+            The target cannot be reached; nothing was sent.
+        """
+        state = self.targets.setdefault(target, TargetState())
+        now = self.clock.now()
+        state.used = now
+        connection = self.pop(state, now - (VERIFIED_MS if verified else SPARE_MS))
+        if connection is None:
+            state.wanted = min(state.wanted + 1, MOST_SPARES)
+            connection = await self.open(target)
+        self.refill(target, state)
+        return connection
+
+    def pop(self, state: TargetState, oldest: float) -> ClientConnection | None:
+        """Return the youngest spare if it was opened after `oldest` and is open."""
+        while state.spares:
+            spare = state.spares.pop()
+            if not spare.connection.open:
+                continue
+            if spare.opened < oldest:
+                state.spares.append(spare)
+                return None
+            return spare.connection
+        return None
+
+    async def open(self, target: Address) -> ClientConnection:
+        """Open a connection, within `CONNECT_MS`."""
+        try:
+            async with asyncio.timeout(CONNECT_MS / MS_PER_SECOND):
+                return await connect(target, self.limits)
+        except TimeoutError as error:
+            raise ConnectError(f"{target}: no connection within {CONNECT_MS} ms") from error
+
+    def refill(self, target: Address, state: TargetState) -> None:
+        """Open spares in the background until there are as many as wanted."""
+        while len(state.spares) + state.opening < state.wanted:
+            state.opening += 1
+            task = asyncio.get_running_loop().create_task(self.open_spare(target, state))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def open_spare(self, target: Address, state: TargetState) -> None:
+        """Open one spare; a target that cannot be reached gets none."""
+        try:
+            connection = await self.open(target)
+        except ConnectError:
+            return
+        finally:
+            state.opening -= 1
+        if self.targets.get(target) is state:
+            state.spares.append(Spare(connection, self.clock.now()))
+        else:
+            connection.close()
+
+    def close_idle(self, target: Address) -> None:
+        """Close the unused connections to `target`."""
+        state = self.targets.pop(target, None)
+        if state:
+            for spare in state.spares:
+                spare.connection.close()
+
+    def tick(self) -> None:
+        """Close spares that have grown old; forget targets that are no longer used."""
+        now = self.clock.now()
+        for target, state in tuple(self.targets.items()):
+            while state.spares and state.spares[0].opened < now - SPARE_MS:
+                state.spares.popleft().connection.close()
+                state.wanted = max(1, state.wanted - 1)
+            if state.used < now - SPARE_MS:
+                self.close_idle(target)
+            else:
+                self.refill(target, state)
+
+    def close(self) -> None:
+        """Close all unused connections."""
+        for target in tuple(self.targets):
+            self.close_idle(target)
--- /dev/null
+++ b/cactusvane/request/attempts.py
@@ -0,0 +1,162 @@
+"""The attempts of one request: when to send it, when to stop, and what its caller may be told.
+
+A non-idempotent request is sent again only after a proof that it has not run. The verdict of a
+refusal covers all attempts: one attempt that may have run makes the request one that may have run.
+"""
+
+from dataclasses import dataclass
+
+from cactusvane.configuration.model import Route
+from cactusvane.pool.messages import Outcome
+from cactusvane.request.budget import RetryBudget
+from cactusvane.verdict import Verdict
+
+MOST_ATTEMPTS = 3
+
+RETRIED_STATUSES = frozenset({500, 502, 503, 504})
+"""Statuses after which an idempotent request is tried elsewhere."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The target's whole answer, or its beginning where it is too large to hold."""
+
+    status: int
+    streams: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The attempt brought no answer that may be passed on."""
+
+    outcome: Outcome
+    verdict: Verdict
+    text: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class NoTarget:
+    """No target may take the request."""
+
+
+AttemptResult = Answered | Lost | NoTarget
+
+
+@dataclass(frozen=True, slots=True)
+class Try:
+    """Send the request to a target; give up after `timeout_ms`, of `remaining_ms` in all."""
+
+    timeout_ms: float
+    remaining_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Deliver:
+    """Pass on the last answer that was received."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Tell the caller that no answer will come."""
+
+    status: int
+    code: str
+    text: str
+    verdict: Verdict
+
+
+AttemptCommand = Try | Deliver | Refuse
+
+
+class Attempts:
+    """Decides after each attempt what comes next.
+
+    Parameters
+    ----------
+    route
+        Says whether the request is idempotent, and its deadline.
+    deadline_ms
+        Time the request has from `now` on.
+    budget
+        Retries that the service may still make.
+    now
+        Milliseconds of the process's clock.
+    """
+
+    def __init__(self, route: Route, deadline_ms: float, budget: RetryBudget, now: float) -> None:
+        self.route = route
+        self.budget = budget
+        self.deadline = now + deadline_ms
+        self.made = 0
+        self.holds_answer = False
+        self.last = Lost(Outcome.UNREACHABLE, Verdict.NOT_RUN)
+        self.verdict = Verdict.NOT_RUN
+        budget.deposit()
+
+    def first(self, now: float) -> AttemptCommand:
+        """Return what to do with a new request."""
+        return self.send(now)
+
+    def ended(self, result: AttemptResult, now: float) -> AttemptCommand:
+        """Return what to do after an attempt.
+
+        Parameters
+        ----------
+        result
+            How the attempt ended.
+        now
+            Milliseconds of the process's clock.
+
+        Returns
+        -------
+        AttemptCommand
+            Send again, pass on the answer, or refuse.
+        """
+        match result:
+            case Answered(status, streams):
+                return self.after_answer(status, streams, now)
+            case Lost():
+                return self.after_loss(result, now)
+            case NoTarget():
+                return self.give_up("no-target")
+
+    def after_answer(self, status: int, streams: bool, now: float) -> AttemptCommand:
+        """Pass the answer on, or try an idempotent request elsewhere after a failure."""
+        self.holds_answer = True
+        failed = status in RETRIED_STATUSES and not streams
+        if failed and self.route.idempotent and self.may_retry(now):
+            return self.send(now)
+        return Deliver()
+
+    def after_loss(self, loss: Lost, now: float) -> AttemptCommand:
+        """Send the request again if that is harmless and affordable."""
+        self.last = loss
+        if loss.verdict is not Verdict.NOT_RUN:
+            self.verdict = loss.verdict
+        if loss.verdict.permits_retry(self.route.idempotent) and self.may_retry(now):
+            return self.send(now)
+        return self.give_up(loss.outcome.value)
+
+    def may_retry(self, now: float) -> bool:
+        """Say whether attempts, time and budget allow another attempt, and take it."""
+        return self.made < MOST_ATTEMPTS and now < self.deadline and self.budget.withdraw()
+
+    def send(self, now: float) -> AttemptCommand:
+        """Return the command for one attempt; an idempotent one leaves time for another."""
+        remaining = self.deadline - now
+        if remaining <= 0:
+            return self.give_up(Outcome.TIMED_OUT.value)
+        self.made += 1
+        last = not self.route.idempotent or self.made == MOST_ATTEMPTS
+        return Try(remaining if last else remaining / 2, remaining)
+
+    def give_up(self, code: str) -> Deliver | Refuse:
+        """Return the failed answer that was received, if any, or else a refusal."""
+        if self.holds_answer:
+            return Deliver()
+        if self.verdict is Verdict.NOT_RUN:
+            status = 503
+        else:
+            status = 504 if self.last.outcome is Outcome.TIMED_OUT else 502
+        text = self.last.text or "no target can take the request"
+        return Refuse(status, code, text, self.verdict)
--- /dev/null
+++ b/tests/http/test_server.py
@@ -0,0 +1,142 @@
+"""The server door: strictness, framing and limits."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cactusvane.errors import BrokenAnswerError
+from cactusvane.fleet.vm import Address
+from cactusvane.http.message import Answer, Request
+from cactusvane.http.server import Caller, Handler, Server
+from cactusvane.settings import HttpLimits
+
+LIMITS = HttpLimits(head_bytes=2_048, body_bytes=1_000, head_ms=300, body_ms=300)
+GOOD = b"GET /echo HTTP/1.1\r\nhost: a\r\n\r\n"
+
+
+async def echo(request: Request, caller: Caller) -> Answer:
+    return Answer(200, (), request.method.encode() + b" " + request.target.encode() + request.body)
+
+
+async def conversation(data: bytes, handler: Handler = echo, eof: bool = True) -> bytes:
+    server = Server(LIMITS, handler)
+    address = await server.start(Address("127.0.0.1", 0))
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    received = bytearray()
+    try:
+        writer.write(data)
+        if eof:
+            writer.write_eof()
+        while part := await asyncio.wait_for(reader.read(65_536), 20):
+            received += part
+    except ConnectionError:
+        received += b"<reset>"
+    finally:
+        writer.close()
+        await server.drain(1_000)
+    return bytes(received)
+
+
+def say(data: bytes, handler: Handler = echo, eof: bool = False) -> bytes:
+    return asyncio.run(conversation(data, handler, eof))
+
+
+def test_pipelined_requests_are_answered_in_order() -> None:
+    last = b"GET /last HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+    answer = say(GOOD + GOOD.replace(b"echo", b"two") + last)
+    assert answer.index(b"GET /echo") < answer.index(b"GET /two") < answer.index(b"GET /last")
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab", 400),
+        (
+            b"POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n"
+            b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        (b"POST /a HTTP/1.1\r\nhost: a\r\ntransfer-encoding: gzip\r\n\r\n", 501),
+        (b"POST /a HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n", 400),
+        (b"GET /a HTTP/1.1\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\nhost : a\r\n\r\n", 400),
+        (b"GET /a/../b HTTP/1.1\r\nhost: a\r\n\r\n", 400),
+        (b"GET /%62ook HTTP/1.1\r\nhost: a\r\n\r\n", 400),
+        (b"GET /a%2fb HTTP/1.1\r\nhost: a\r\n\r\n", 400),
+        (b"GET http://a/b HTTP/1.1\r\nhost: a\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 5_000, 431),
+        (b"POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 5000\r\n\r\n" + b"y" * 5_000, 413),
+        (b"GET /slow HTTP/1.1\r\nhost:", 408),
+        (b"POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc", 408),
+        (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc", 400),
+    ],
+)
+def test_bad_requests_are_refused_and_closed(data: bytes, status: int) -> None:
+    reply = say(data)
+    assert reply.startswith(b"HTTP/1.1 %d " % status)
+    assert b"cactusvane-verdict: not-run" in reply.lower()
+    assert b'"verdict":"not-run"' in reply
+
+
+def test_internal_error_shows_no_traceback() -> None:
+    async def fail(request: Request, caller: Caller) -> Answer:
+        raise ValueError("secret")
+
+    reply = say(GOOD.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"), fail)
+    assert reply.startswith(b"HTTP/1.1 500 ")
+    assert b"may-have-run" in reply
+    assert b"secret" not in reply
+
+
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+def test_answer_that_breaks_off_ends_in_a_reset(version: bytes) -> None:
+    async def rest() -> AsyncIterator[bytes]:
+        yield b"more"
+        raise BrokenAnswerError("gone")
+
+    async def stream(request: Request, caller: Caller) -> Answer:
+        return Answer(200, (), b"start", rest())
+
+    reply = say(GOOD.replace(b"1.1", version), stream)
+    assert reply.endswith(b"<reset>")
+
+
+def test_caller_gone_is_told_to_the_handler() -> None:
+    async def wait(request: Request, caller: Caller) -> Answer:
+        gone = asyncio.Event()
+        caller.on_gone = gone.set
+        await gone.wait()
+        return Answer(200, (), b"finished all the same")
+
+    assert say(GOOD, wait, eof=True).endswith(b"finished all the same")
+
+
+PIECES = st.sampled_from(
+    [
+        GOOD,
+        b"POST /p HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n\r\nabc",
+        b"POST /p HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        b"content-length: 3\r\n",
+        b"transfer-encoding: chunked\r\n",
+        b"\r\n",
+        b"\r\n\r\n",
+        b"0\r\n\r\n",
+        b"GET ",
+        b"HTTP/1.1",
+        b"\x00",
+        b"\xff" * 40,
+    ]
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=80)
+@given(st.lists(st.one_of(PIECES, st.binary(max_size=30)), max_size=8))
+def test_no_input_breaks_the_server(pieces: list[bytes]) -> None:
+    reply = say(b"".join(pieces), eof=True)
+    assert b"500" not in reply.split(b"\r\n")[0]
+    assert b"Traceback" not in reply
+    assert reply == b"" or reply.startswith(b"HTTP/1.1 ")
--- /dev/null
+++ b/tests/request/test_attempts.py
@@ -0,0 +1,75 @@
+"""The rules of attempts, for all sequences of results."""
+
+import dataclasses
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cactusvane.configuration.model import Route
+from cactusvane.pool.messages import Outcome
+from cactusvane.request.attempts import (
+    MOST_ATTEMPTS,
+    Answered,
+    AttemptResult,
+    Attempts,
+    Deliver,
+    Lost,
+    NoTarget,
+    Refuse,
+    Try,
+)
+from cactusvane.request.budget import RetryBudget
+from cactusvane.verdict import Verdict
+
+ROUTE = Route("/", ("GET",), True, "read", deadline_ms=1_000)
+
+RESULTS: st.SearchStrategy[AttemptResult] = st.one_of(
+    st.builds(Answered, st.sampled_from([200, 404, 500, 503]), st.booleans()),
+    st.builds(
+        Lost, st.sampled_from(Outcome), st.sampled_from([Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN])
+    ),
+    st.just(NoTarget()),
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.booleans(), st.lists(RESULTS, min_size=6, max_size=6), st.integers(0, 400))
+def test_attempts_keep_the_promises(
+    idempotent: bool, results: list[AttemptResult], step_ms: int
+) -> None:
+    route = dataclasses.replace(ROUTE, idempotent=idempotent)
+    now = 0.0
+    attempts = Attempts(route, 1_000, RetryBudget(), now)
+    command = attempts.first(now)
+    seen: list[AttemptResult] = []
+    tries = 0
+    while isinstance(command, Try):
+        tries += 1
+        assert 0 < command.timeout_ms <= command.remaining_ms <= 1_000 - now
+        result = results[len(seen)]
+        seen.append(result)
+        now += step_ms
+        command = attempts.ended(result, now)
+    assert tries <= MOST_ATTEMPTS
+    unsure = [r for r in seen if isinstance(r, Lost) and r.verdict is Verdict.MAY_HAVE_RUN]
+    answered = [r for r in seen if isinstance(r, Answered)]
+    if not idempotent:
+        assert len(unsure) + len(answered) <= 1
+    if isinstance(command, Refuse):
+        assert not answered
+        assert (command.verdict is Verdict.NOT_RUN) == (not unsure)
+    else:
+        assert isinstance(command, Deliver)
+        assert answered
+
+
+def test_retries_stay_within_the_budget() -> None:
+    budget = RetryBudget(share=0.1, burst=1.0)
+    tries = 0
+    for _ in range(100):
+        attempts = Attempts(ROUTE, 1_000, budget, 0.0)
+        command = attempts.first(0.0)
+        while isinstance(command, Try):
+            tries += 1
+            command = attempts.ended(Lost(Outcome.SHED, Verdict.NOT_RUN), 0.0)
+    assert tries <= 100 + 1 + 10
