Draw mixed faults from a seed, and soak a fleet in them

Faults overlap, so one schedule holds two of a kind and several kinds at once. Bookers repeat one key at several entries, at once and after failures.

--- /dev/null
+++ b/scripts/soak.py
@@ -0,0 +1,163 @@
+"""Mixed faults for as long as asked: ``make soak SECONDS=60 SEED=1``.
+
+The last line is the demo's JSON object with the faults put in; it exits with 1 when a promise
+was broken.
+"""
+
+import argparse
+import asyncio
+import signal
+import sys
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from tests.processes.callers import Call, Told
+from tests.processes.chaos import ALL_FAULTS, FAILURE_DOMAINS, LEAST_ENTRIES, Chaos
+from tests.processes.harness import Fleet, fleet
+from tests.processes.services import ServiceFile, service
+from tests.processes.verdicts import (
+    Verdicts,
+    count,
+    cut,
+    doubled,
+    false_not_run,
+    late_work,
+)
+
+LEAVE_SECONDS = 3.0
+SETTLE_SECONDS = 3.0
+PATIENCE_SECONDS = 8.0
+TARGETS = 5
+FLOOR = 3
+LEAVE_SHARE = 0.03
+
+
+@dataclass(slots=True)
+class Soaked:
+    """What a soak found."""
+
+    verdicts: Verdicts
+    calls: list[Call]
+    faults: Counter[str]
+    bookings: int = 0
+    sure: int = 0
+    late_work: int = 0
+    findings: list[str] = field(default_factory=list)
+
+    def good(self) -> bool:
+        """Say whether no promise was broken."""
+        return self.verdicts.good() and not self.late_work
+
+    def to_json(self) -> str:
+        """Return the last line."""
+        values = {
+            **msgspec.to_builtins(self.verdicts),
+            "late_work": self.late_work,
+            "bookings": self.bookings,
+            "bookings_sure": self.sure,
+            "faults": dict(sorted(self.faults.items())),
+        }
+        return msgspec.json.encode(values).decode()
+
+
+async def soak(
+    seconds: float, seed: int, faults: tuple[str, ...] = ALL_FAULTS, gap_seconds: float = 0.8
+) -> Soaked:
+    """Run callers against a fleet in which faults are put in."""
+    services = (
+        service("records", TARGETS, FLOOR),
+        service("booking", TARGETS, FLOOR),
+    )
+    async with fleet() as running:
+        await start(running, services)
+        balancer = asyncio.ensure_future(running.balance())
+        chaos = Chaos(running, services, seed, faults, gap_seconds)
+        callers = running.callers(seed, LEAVE_SHARE)
+        callers.patience = PATIENCE_SECONDS
+        kinds = tuple(kind for one in services for kind in one.kinds())
+        booking = next(kind for kind in services[1].kinds() if kind.keyed)
+        load = asyncio.gather(
+            callers.run(kinds, 10, 40.0, seconds),
+            callers.keep_booking(booking, 6, seconds),
+        )
+        await chaos.run(seconds)
+        await load
+        await asyncio.sleep(SETTLE_SECONDS)
+        balancer.cancel()
+        return found(running, callers.calls, chaos)
+
+
+async def start(running: Fleet, services: tuple[ServiceFile, ...]) -> None:
+    """Start everything and publish."""
+    directory = running.directory / "services"
+    await running.start_platform()
+    for one in services:
+        one.write(directory)
+    published = await running.publish(directory)
+    assert published.returncode == 0, published.stderr
+    starting = [
+        running.start_target(one.name, FAILURE_DOMAINS[number % 3], mean_ms=15.0, forwarded=True)
+        for one in services
+        for number in range(one.targets)
+    ]
+    await asyncio.gather(*starting)
+    await asyncio.gather(*(running.start_entry(domain) for domain in FAILURE_DOMAINS))
+    await running.start_entry(FAILURE_DOMAINS[0])
+    assert len(running.entries) > LEAST_ENTRIES
+
+
+def found(running: Fleet, calls: list[Call], chaos: Chaos) -> Soaked:
+    """Count, and describe each broken promise."""
+    ledgers = running.ledgers()
+    verdicts = count(calls, ledgers, running.stops, running.disturbances)
+    late = late_work(ledgers, running.stops, LEAVE_SECONDS)
+    findings = [f"ran twice: {work}" for work in doubled(ledgers)]
+    findings += [f"told not-run but ran: {call}" for call in false_not_run(calls, ledgers)]
+    stopped = cut(calls, ledgers, running.stops, running.disturbances)
+    findings += [f"cut by a planned stop: {call}" for call in stopped]
+    findings += [f"late work: {line}" for line in late]
+    findings += [f"foreign: {call}" for call in calls if call.told is Told.FOREIGN]
+    bookings: dict[str, list[Call]] = {}
+    for call in calls:
+        if call.key.startswith("booking-"):
+            bookings.setdefault(call.key, []).append(call)
+    sure = sum(is_sure(group) for group in bookings.values())
+    return Soaked(verdicts, calls, chaos.injected, len(bookings), sure, len(late), findings)
+
+
+def is_sure(calls: list[Call]) -> bool:
+    """Say whether the caller of one booking knows at the end if it ran."""
+    told = {call.told for call in calls}
+    return bool(told & {Told.WHOLE, Told.REPEATED}) or told == {Told.NOT_RUN}
+
+
+async def run_until_signal(seconds: float, seed: int) -> Soaked:
+    """Run, and end all processes also when this one is told to stop."""
+    task = asyncio.ensure_future(soak(seconds, seed))
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    return await task
+
+
+def main() -> None:
+    """Exit with 1 when a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=60.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--calls", type=Path, help="write the callers' ledger into this file")
+    options = parser.parse_args()
+    result = asyncio.run(run_until_signal(options.seconds, options.seed))
+    if options.calls:
+        options.calls.write_bytes(msgspec.json.encode(result.calls))
+    for finding in result.findings:
+        print(finding)
+    print(result.to_json(), flush=True)
+    sys.exit(0 if result.good() else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -14,6 +14,9 @@
 READ_BYTES = 65_536
 GIVE_UP_SECONDS = 20.0
 CONNECT_SECONDS = 1.0
+PARALLEL_SHARE = 0.3
+MOST_REPEATS = 4
+REPEAT_SECONDS = 0.4
 
 
 class Told(Enum):
@@ -22,6 +25,9 @@
     WHOLE = "whole"
     NOT_RUN = "not-run"
     MAY_HAVE_RUN = "may-have-run"
+    REPEATED = "repeated"
+    """The key had run before; the answer says so."""
+
     FOREIGN = "foreign"
     LEFT = "left"
 
@@ -61,6 +67,8 @@
     told: Told = Told.MAY_HAVE_RUN
     status: int = 0
     text: str = ""
+    broken: bool = False
+    """Whether the connection ended without a whole answer."""
 
 
 class Wire:
@@ -140,11 +148,14 @@
         Returns names and ports of the entries that a caller may use now.
     leave_share
         Callers that go away before their answer.
+    patience
+        Seconds after which a caller gives up.
     """
 
     balancer: Callable[[], dict[str, int]]
     seed: int
     leave_share: float = 0.0
+    patience: float = GIVE_UP_SECONDS
     calls: list[Call] = field(default_factory=list)
     numbers: int = 0
     stopping: bool = False
@@ -199,13 +210,42 @@
                 continue
         return "", None
 
+    async def book(self, kind: Kind, draws: random.Random) -> None:
+        """Book with one key at several entries, at once or until an answer is sure."""
+        key = f"booking-{self.seed}-{draws.getrandbits(48):012x}"
+        at_once = 2 if draws.random() < PARALLEL_SHARE else 1
+        for _ in range(MOST_REPEATS):
+            calls = [self.new_call(kind, draws, key) for _ in range(at_once)]
+            await asyncio.gather(*(self.once(call, draws) for call in calls))
+            if any(call.told in (Told.WHOLE, Told.REPEATED) for call in calls):
+                return
+            await asyncio.sleep(draws.random() * REPEAT_SECONDS)
+
+    async def once(self, call: Call, draws: random.Random) -> None:
+        """Make one call on a connection of its own."""
+        call.entry, wire = await self.connect_any(draws)
+        wire = await self.call(call, wire, draws)
+        if wire is not None:
+            wire.close()
+
+    async def keep_booking(self, kind: Kind, sessions: int, seconds: float) -> None:
+        """Keep `sessions` callers booking for a while."""
+        until = time.monotonic() + seconds
+
+        async def session(number: int) -> None:
+            draws = random.Random(f"{self.seed} booking {number}")
+            while time.monotonic() < until:
+                await self.book(kind, draws)
+
+        await asyncio.gather(*(session(number) for number in range(sessions)))
+
     async def call(self, call: Call, wire: Wire | None, draws: random.Random) -> Wire | None:
         """Make one call; return the connection if it can be used again."""
         call.sent_at = time.time()
         if wire is None:
             self.end(call, Told.NOT_RUN, "no entry takes connections")
             return None
-        patience = GIVE_UP_SECONDS
+        patience = self.patience
         leaves = draws.random() < self.leave_share
         if leaves:
             patience = draws.random() * 0.04
@@ -229,6 +269,7 @@
     def judge(self, call: Call, reply: Reply) -> None:
         """Write down what the caller knows after an answer."""
         call.status = reply.status
+        call.broken = not reply.complete
         own = answer_body(call.request_id)
         verdict = reply.headers.get("cactusvane-verdict", "")
         text = reply.body[:120].decode(errors="replace")
--- /dev/null
+++ b/tests/processes/chaos.py
@@ -0,0 +1,246 @@
+"""Faults drawn from a seed, put into a running fleet one after another and overlapping."""
+
+import asyncio
+import random
+import time
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from contextlib import suppress
+from typing import Any
+
+from tests.processes.harness import Fleet
+from tests.processes.services import ServiceFile
+
+Fault = Callable[[], Coroutine[Any, Any, None]]
+
+FAILURE_DOMAINS = ("Gobabis", "Witvlei", "Leonardville")
+LEAST_ENTRIES = 2
+WRONG_ANSWERS = {
+    "late_share": 0.05,
+    "late_ms": 2_000.0,
+    "short_share": 0.1,
+    "long_share": 0.1,
+    "twice_share": 0.1,
+    "garbage_share": 0.05,
+    "cut_share": 0.1,
+}
+
+
+class Chaos:
+    """Draws faults and keeps the fleet at its size.
+
+    Parameters
+    ----------
+    running
+        The fleet.
+    services
+        What it serves.
+    seed
+        Of every draw.
+    faults
+        Names of methods of this class that may be drawn.
+    gap_seconds
+        Mean time between two faults; they overlap where it is short.
+    """
+
+    def __init__(
+        self,
+        running: Fleet,
+        services: tuple[ServiceFile, ...],
+        seed: int,
+        faults: tuple[str, ...],
+        gap_seconds: float = 0.8,
+    ) -> None:
+        self.running = running
+        self.services = services
+        self.random = random.Random(seed)
+        self.faults = faults
+        self.gap_seconds = gap_seconds
+        self.injected: Counter[str] = Counter()
+        self.busy: set[str] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, seconds: float) -> None:
+        """Put in faults for a while, then let each end."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            await asyncio.sleep(self.random.expovariate(1.0 / self.gap_seconds))
+            name = self.random.choice(self.faults)
+            fault: Fault = getattr(self, name)
+            self.injected[name] += 1
+            task = asyncio.ensure_future(fault())
+            self.tasks.add(task)
+        await asyncio.gather(*self.tasks)
+
+    def some(self, names: dict[str, Any], least: int = 1) -> str | None:
+        """Draw a process that runs and that no fault holds, or None if too few are left."""
+        free = [n for n in names if self.running.processes[n].alive() and n not in self.busy]
+        if len(free) <= least:
+            return None
+        name = self.random.choice(free)
+        self.busy.add(name)
+        return name
+
+    async def hold(self, least: float = 1.0, most: float = 4.0) -> None:
+        """Wait as long as a fault lasts, in seconds."""
+        await asyncio.sleep(self.random.uniform(least, most))
+
+    async def kill_entry(self) -> None:
+        """Kill an entry and let another take its place."""
+        name = self.some(self.running.entries, LEAST_ENTRIES)
+        if name is None:
+            return
+        self.running.kill(name)
+        self.running.in_balancer.pop(name, None)
+        await self.new_entry()
+
+    async def stop_entry(self) -> None:
+        """Stop an entry in an orderly way and let another take its place."""
+        name = self.some(self.running.entries, LEAST_ENTRIES)
+        if name is None:
+            return
+        stopping = asyncio.ensure_future(self.running.stop(name))
+        await self.new_entry()
+        await stopping
+
+    async def new_entry(self) -> None:
+        """Start an entry; it may have to wait for the platform or its peers."""
+        domain = self.random.choice(FAILURE_DOMAINS)
+        name = f"entry-{len(self.running.entries)}"
+        self.busy.add(name)
+        await self.running.start_entry(domain, ready=False)
+        self.busy.discard(name)
+
+    async def freeze_entry(self) -> None:
+        """Freeze an entry for longer than its leases and timeouts, then let it go on."""
+        name = self.some(self.running.entries, LEAST_ENTRIES)
+        if name is None:
+            return
+        with self.running.frozen(name):
+            await self.hold(2.0, 6.0)
+        self.busy.discard(name)
+
+    async def freeze_platform(self) -> None:
+        """Freeze the platform."""
+        with self.running.frozen("platform"):
+            await self.hold()
+
+    async def platform_down(self) -> None:
+        """Let the platform refuse everybody."""
+        await self.platform(down=True)
+        await self.hold()
+        await self.platform()
+
+    async def platform_slow(self) -> None:
+        """Let the platform answer later than every timeout."""
+        await self.platform(slow_ms=3_000)
+        await self.hold()
+        await self.platform()
+
+    async def lose_answers(self) -> None:
+        """Lose answers of writes that took effect."""
+        await self.platform(lose_answers=self.random.randint(1, 10))
+
+    async def platform(self, **faults: object) -> None:
+        """Change the platform's faults, frozen or not."""
+        with suppress(OSError, TimeoutError):
+            await self.running.platform(**faults)
+
+    async def freeze_target(self) -> None:
+        """Freeze a target."""
+        name = self.some(self.running.targets, 2)
+        if name is None:
+            return
+        with self.running.frozen(name):
+            await self.hold(1.0, 6.0)
+        self.busy.discard(name)
+
+    async def kill_target(self) -> None:
+        """Kill a target; the list shows it on for a while, then its successor."""
+        name = self.some(self.running.targets, 2)
+        if name is None:
+            return
+        self.running.kill(name)
+        await self.hold()
+        await self.replace_target(name)
+
+    async def replace_target(self, name: str) -> None:
+        """Start another target of the same service and take the old one off the list."""
+        listed = self.running.targets[name].listed
+        with suppress(OSError, TimeoutError):
+            await self.running.register(removed=(name,))
+        service = next(s for s in self.services if s.name == listed["service"])
+        domain = str(listed["failure_domain"])
+        with suppress(OSError, TimeoutError):
+            await self.running.start_target(service.name, domain, service.slots, forwarded=True)
+
+    async def gray_target(self) -> None:
+        """Let a target fail most real requests."""
+        await self.misbehave({"fail_share": 0.8})
+
+    async def wrong_answers(self) -> None:
+        """Let a target answer late, short, too long, twice, with garbage or not at all."""
+        await self.misbehave(WRONG_ANSWERS)
+
+    async def misbehave(self, behaviour: dict[str, float]) -> None:
+        """Change a target's behaviour for a while."""
+        name = self.some(self.running.targets, 2)
+        if name is None:
+            return
+        with suppress(OSError, TimeoutError):
+            await self.running.behave(name, **behaviour)
+            await self.hold()
+            await self.running.behave(name, **dict.fromkeys(behaviour, 0.0))
+            await asyncio.sleep(1.0)
+        self.busy.discard(name)
+
+    async def cut_up(self) -> None:
+        """Lose what is sent to a target."""
+        await self.cut_path(drop_up=True)
+
+    async def cut_down(self) -> None:
+        """Lose what a target answers."""
+        await self.cut_path(drop_down=True)
+
+    async def cut_answers(self) -> None:
+        """Cut connections to a target in mid-answer."""
+        await self.cut_path(cut_after=self.random.randint(0, 3_000))
+
+    async def cut_path(self, **behaviour: object) -> None:
+        """Disturb the path to a target for a while."""
+        name = self.some(self.running.targets, 2)
+        if name is None:
+            return
+        await self.running.path_to(name, **behaviour)
+        await self.hold()
+        await self.running.path_to(name, drop_up=False, drop_down=False, cut_after=-1)
+        await asyncio.sleep(1.0)
+        self.busy.discard(name)
+
+    async def leave_by_list(self) -> None:
+        """Let a target leave by the platform's list, stop it, and start its successor."""
+        name = self.some(self.running.targets, 2)
+        if name is not None:
+            await self.leave(name, self.running.leave_by_list(name))
+
+    async def leave_by_answer(self) -> None:
+        """Let a target leave by its own answers."""
+        name = self.some(self.running.targets, 2)
+        if name is not None:
+            await self.leave(name, self.running.leave_by_answer(name))
+
+    async def leave(self, name: str, notice: Coroutine[Any, Any, None]) -> None:
+        """Give a notice, stop the target after some seconds, and replace it."""
+        with suppress(OSError, TimeoutError):
+            await notice
+        await asyncio.sleep(4.0)
+        await self.running.stop(name)
+        await self.replace_target(name)
+
+
+ENTRY_FAULTS = ("kill_entry", "freeze_entry")
+PLATFORM_FAULTS = ("platform_down", "platform_slow", "lose_answers", "freeze_platform")
+TARGET_FAULTS = ("freeze_target", "kill_target", "gray_target", "wrong_answers")
+PATH_FAULTS = ("cut_up", "cut_down", "cut_answers")
+PLANNED = ("stop_entry", "leave_by_list", "leave_by_answer")
+ALL_FAULTS = (*ENTRY_FAULTS, *PLATFORM_FAULTS, *TARGET_FAULTS, *PATH_FAULTS, *PLANNED)
--- a/tests/processes/test_verdicts.py
+++ b/tests/processes/test_verdicts.py
@@ -37,6 +37,7 @@
     ledgers = {"t": [start("a")]}
     calls = [call("a", Told.MAY_HAVE_RUN)]
     assert count(calls, ledgers, [PlannedStop("t", 1.7)]).cut_by_planned_stop == 1
+    calls[0].broken = True
     assert count(calls, {}, [PlannedStop("e", 1.7)]).cut_by_planned_stop == 1
     assert count(calls, {}, [PlannedStop("other", 1.7)]).cut_by_planned_stop == 0
 
--- a/tests/processes/verdicts.py
+++ b/tests/processes/verdicts.py
@@ -97,18 +97,29 @@
     disturbances: list[Disturbance] | None = None,
 ) -> list[Call]:
     """Return calls in flight at a planned stop that broke, and that no other fault touched."""
-    found = []
-    for stop in stops:
-        lines = ledgers.get(stop.name, [])
-        at_target = {line.request_id for line in lines if line.what == "started"}
-        for call in calls:
-            here = (
-                call.entry == stop.name and call.sent_at < stop.at or call.request_id in at_target
-            )
-            broke = call.told is Told.MAY_HAVE_RUN
-            if here and broke and call.ended_at > stop.at and not touched(call, disturbances or []):
-                found.append(call)
-    return found
+    last = last_target(ledgers)
+    return [
+        call
+        for call in calls
+        for stop in stops
+        if call.ended_at > stop.at
+        and call.told is Told.MAY_HAVE_RUN
+        and (
+            last.get(call.request_id) == stop.name
+            or (call.entry == stop.name and call.broken and call.sent_at < stop.at)
+        )
+        and not touched(call, disturbances or [])
+    ]
+
+
+def last_target(ledgers: Ledgers) -> dict[str, str]:
+    """Return the target at which each request was started last."""
+    last: dict[str, tuple[float, str]] = {}
+    for name, lines in ledgers.items():
+        for line in lines:
+            if line.what == "started":
+                last[line.request_id] = max((line.at, name), last.get(line.request_id, (0.0, "")))
+    return {request_id: name for request_id, (_, name) in last.items()}
 
 
 def touched(call: Call, disturbances: list[Disturbance]) -> bool:
