--- /dev/null
+++ b/cactusvane/pool/floor.py
@@ -0,0 +1,64 @@
+"""Which suspects stay out: never so many that healthy capacity falls below the floor."""
+
+from dataclasses import dataclass
+
+from cactusvane.fleet.vm import Address
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A target that is listed and not leaving.
+
+    Parameters
+    ----------
+    address
+        The target.
+    warm
+        Whether it counts as healthy capacity while it is in use.
+    severity
+        Share of bad outcomes of a suspect; None for a target that nothing speaks against.
+    """
+
+    address: Address
+    warm: bool
+    severity: float | None
+
+
+def left_out(candidates: tuple[Candidate, ...], floor: int) -> frozenset[Address]:
+    """Choose the suspects that stay out.
+
+    Leaving, vanished and cold targets count as missing already. The sickest suspects go first;
+    ties go by address, so that all entries with the same view leave out the same targets.
+
+    Parameters
+    ----------
+    candidates
+        All targets that are listed and not leaving.
+    floor
+        How many must stay in use.
+
+    Returns
+    -------
+    frozenset of Address
+        Targets that take no regular work.
+
+    Examples
+    --------
+    >>> sick = Candidate(Address("10.0.0.1", 80), True, 0.9)
+    >>> gray = Candidate(Address("10.0.0.2", 80), True, 0.3)
+    >>> well = Candidate(Address("10.0.0.3", 80), True, None)
+    >>> left_out((well, gray, sick), floor=2) == {sick.address}
+    True
+    """
+    suspects = [candidate for candidate in candidates if candidate.severity is not None]
+    suspects.sort(key=lambda suspect: (-(suspect.severity or 0.0), suspect.address))
+    in_use = len(candidates)
+    warm = sum(candidate.warm for candidate in candidates)
+    out: set[Address] = set()
+    for suspect in suspects:
+        if in_use <= floor or (suspect.warm and warm <= floor):
+            continue
+        out.add(suspect.address)
+        in_use -= 1
+        warm -= suspect.warm
+    return frozenset(out)
--- /dev/null
+++ b/cactusvane/pool/latency.py
@@ -0,0 +1,48 @@
+"""A running median of latencies, cheap enough for each request."""
+
+from itertools import accumulate
+from math import log2
+
+BUCKETS_PER_DOUBLING = 4
+BUCKET_COUNT = 96
+SMALLEST_MS = 0.1
+WINDOW = 512
+FEWEST_SAMPLES = 20
+
+
+class RunningMedian:
+    """The median over recent latencies, in geometric buckets that fade.
+
+    Examples
+    --------
+    >>> median = RunningMedian()
+    >>> for _ in range(100):
+    ...     median.add(25.0)
+    >>> 20.0 < median.value < 30.0
+    True
+    """
+
+    __slots__ = ("counts", "total", "value")
+
+    def __init__(self) -> None:
+        self.counts = [0.0] * BUCKET_COUNT
+        self.total = 0.0
+        self.value = 0.0
+        """Milliseconds; 0 until there are enough samples."""
+
+    def add(self, latency_ms: float) -> None:
+        """Take in one latency in milliseconds."""
+        place = int(log2(max(latency_ms, SMALLEST_MS) / SMALLEST_MS) * BUCKETS_PER_DOUBLING)
+        self.counts[min(place, BUCKET_COUNT - 1)] += 1.0
+        self.total += 1.0
+        if self.total >= WINDOW:
+            self.counts = [count / 2.0 for count in self.counts]
+            self.total /= 2.0
+        if self.total >= FEWEST_SAMPLES and int(self.total) % FEWEST_SAMPLES == 0:
+            self.value = self.find()
+
+    def find(self) -> float:
+        """Return the middle of the bucket that holds the median, in milliseconds."""
+        half = self.total / 2.0
+        place = next(place for place, seen in enumerate(accumulate(self.counts)) if seen >= half)
+        return float(SMALLEST_MS * 2.0 ** ((place + 0.5) / BUCKETS_PER_DOUBLING))
--- a/cactusvane/pool/messages.py
+++ b/cactusvane/pool/messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from cactusvane.configuration.model import Service
 from cactusvane.fleet.vm import Address, Vm
 
 
@@ -87,6 +88,8 @@
         Without a repetition within this time the keeper counts as gone.
     trial
         Whether idempotent requests may try the target now.
+    severity
+        Share of bad outcomes, between 0 and 1; where the floor binds, the least sick stay.
     reason
         For the log.
     """
@@ -96,6 +99,7 @@
     hold_ms: float
     expiry_ms: float
     trial: bool
+    severity: float
     reason: str
 
 
@@ -120,8 +124,16 @@
     target: Address
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceChanged:
+    """Another version of the operators' file is in force."""
+
+    service: Service
+
+
 PoolEvent = (
     TargetsListed
+    | ServiceChanged
     | AttemptStarted
     | AttemptEnded
     | LeavingNoticed
@@ -219,5 +231,5 @@
     counts: tuple[TargetCounts, ...]
 
 
-KeeperEvent = EvidenceReported | TargetsListed | Ticked
+KeeperEvent = EvidenceReported | TargetsListed | ServiceChanged | Ticked
 KeeperCommand = Ejection | Return
--- a/cactusvane/pool/pool.py
+++ b/cactusvane/pool/pool.py
@@ -1,20 +1,62 @@
 """The targets of one service, as one entry sees them; no sockets and no wall clock."""
 
+from dataclasses import dataclass
+from math import inf
 from random import Random
 
 from cactusvane.configuration.model import Service
 from cactusvane.fleet.vm import Address, Vm, VmState
+from cactusvane.pool.evidence import Stream
+from cactusvane.pool.floor import Candidate, left_out
+from cactusvane.pool.latency import RunningMedian
 from cactusvane.pool.messages import (
     AttemptEnded,
     AttemptStarted,
     CloseIdle,
+    Ejected,
+    Ejection,
+    EjectionHeard,
     LeavingNoticed,
+    NoticeSource,
     Outcome,
     PoolCommand,
     PoolEvent,
+    Probe,
+    ProbeEnded,
+    Returned,
+    ReturnHeard,
+    SelfCleared,
+    SelfSuspected,
+    ServiceChanged,
+    TargetCounts,
     TargetsListed,
     Ticked,
 )
+from cactusvane.pool.own_path import PATH_FAILURES, PROBE_GAP_MS, OwnPath
+from cactusvane.pool.quarantine import Quarantine, Trial, TrialResult
+from cactusvane.pool.reporter import Reporter
+from cactusvane.pool.settings import PoolSettings, threshold
+from cactusvane.pool.target import TargetState
+
+FAILED = PATH_FAILURES | {Outcome.FAILED}
+"""Outcomes that speak against a target; a shed request does not."""
+
+SLOW_SEVERITY = 0.5
+"""A slow target is less sick than one that fails as often."""
+
+AVOIDANCE = 1.0
+"""How much each unit of own evidence makes a target look busier."""
+
+NON_IDEMPOTENT_AVOIDANCE = 4.0
+"""The same for requests that cannot be tried again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """A target said to be leaving; an answer's word lapses, for the process may start again."""
+
+    vm: str
+    until: float
 
 
 class Pool:
@@ -28,15 +70,36 @@
         Where this VM stands.
     random
         Source of all random choices.
+    settings
+        How evidence becomes decisions.
     """
 
-    def __init__(self, service: Service, failure_domain: str, random: Random) -> None:
-        self.service = service
+    def __init__(
+        self,
+        service: Service,
+        failure_domain: str,
+        random: Random,
+        settings: PoolSettings | None = None,
+    ) -> None:
+        self.settings = settings or PoolSettings()
         self.failure_domain = failure_domain
         self.random = random
-        self.targets: dict[Address, Vm] = {}
-        self.leaving: set[Address] = set()
-        self.in_flight: dict[Address, int] = {}
+        self.targets: dict[Address, TargetState] = {}
+        self.notices: dict[Address, Notice] = {}
+        self.out: frozenset[Address] = frozenset()
+        self.on_trial: tuple[TargetState, ...] = ()
+        self.in_use: tuple[TargetState, ...] = ()
+        self.failures = Stream(self.settings.failures)
+        self.slowness = Stream(self.settings.slowness)
+        self.median = RunningMedian()
+        self.path = OwnPath()
+        self.reporter = Reporter(service.name, self.settings, random)
+        self.configure(service)
+
+    def configure(self, service: Service) -> None:
+        """Go by another version of the operators' file."""
+        self.service = service
+        self.threshold = threshold(service.health, self.settings)
 
     def handle(self, event: PoolEvent, now: float) -> tuple[PoolCommand, ...]:
         """Take in one event.
@@ -44,7 +107,7 @@
         Parameters
         ----------
         event
-            What happened.
+            What happened; in any order, late or twice.
         now
             Milliseconds of the process's clock.
 
@@ -53,23 +116,33 @@
         tuple of PoolCommand
             What the caller has to do, in order.
         """
+        commands: tuple[PoolCommand, ...] = ()
         match event:
-            case TargetsListed(targets):
-                self.targets = {vm.address: vm for vm in targets}
             case AttemptStarted(target):
-                self.in_flight[target] = self.in_flight.get(target, 0) + 1
-            case AttemptEnded(target, outcome, _):
-                self.in_flight[target] = self.in_flight.get(target, 0) - 1
-                if outcome is Outcome.DRAINING:
-                    self.leaving.add(target)
-            case LeavingNoticed(target, _):
-                self.leaving.add(target)
-                return (CloseIdle(target),)
+                if target in self.targets:
+                    self.targets[target].start(now)
+                return ()
+            case AttemptEnded():
+                return self.attempt_ended(event, now)
+            case TargetsListed(targets):
+                self.listed(targets, now)
+            case ServiceChanged(service):
+                self.configure(service)
+            case LeavingNoticed(target, source):
+                self.notice(target, source, now)
+            case ProbeEnded(target, healthy):
+                commands = self.probe_ended(target, healthy)
+            case EjectionHeard(ejection):
+                commands = self.ejection_heard(ejection, now)
+            case ReturnHeard(target):
+                commands = self.return_heard(target, now)
             case Ticked():
-                pass
-        return ()
+                commands = self.ticked(now)
+        return (*commands, *self.refresh(now))
 
-    def choose(self, now: float, exclude: frozenset[Address] = frozenset()) -> Vm | None:
+    def choose(
+        self, now: float, exclude: frozenset[Address] = frozenset(), idempotent: bool = False
+    ) -> Vm | None:
         """Choose a target for one attempt by power of two choices.
 
         Parameters
@@ -78,20 +151,333 @@
             Milliseconds of the process's clock.
         exclude
             Targets that this request has tried already.
+        idempotent
+            Whether the request may try a target that is on trial.
 
         Returns
         -------
         Vm or None
             None where no target may take new work.
         """
-        candidates = [
-            vm
-            for vm in self.targets.values()
-            if vm.state is VmState.LIVE
-            and vm.address not in self.leaving
-            and vm.address not in exclude
-        ]
+        if idempotent:
+            for state in self.on_trial:
+                if state.vm.address not in exclude and self.may_try(state, now):
+                    return state.vm
+        candidates = [state for state in self.in_use if state.vm.address not in exclude]
+        candidates = self.ramped(candidates, now) or candidates
         if not candidates:
             return None
         pair = self.random.sample(candidates, min(2, len(candidates)))
-        return min(pair, key=lambda vm: self.in_flight.get(vm.address, 0))
+        return min(pair, key=lambda state: self.cost(state, idempotent)).vm
+
+    def may_try(self, state: TargetState, now: float) -> bool:
+        """Say whether a trial of the target is due, and if so count it."""
+        quarantine = state.quarantine
+        if quarantine is None or state.in_flight or not quarantine.open_to_trial(now):
+            return False
+        if now - quarantine.tried_at < self.settings.hold.trial_gap_ms:
+            return False
+        quarantine.tried_at = now
+        return True
+
+    def cost(self, state: TargetState, idempotent: bool) -> float:
+        """Return how busy a target looks: requests in flight and own evidence."""
+        avoidance = AVOIDANCE if idempotent else NON_IDEMPOTENT_AVOIDANCE
+        doubt = avoidance * self.failures.score(state.vm.address)
+        return state.in_flight + doubt
+
+    def ramped(self, states: list[TargetState], now: float) -> list[TargetState]:
+        """Leave out cold targets by chance, so that each gets the share of its ramp."""
+        warm_up_ms = self.service.warm_up_ms
+        return [
+            state
+            for state in states
+            if state.ramp_from is None or self.random.random() < state.ramp(now, warm_up_ms)
+        ]
+
+    def attempt_ended(self, event: AttemptEnded, now: float) -> tuple[PoolCommand, ...]:
+        """Learn from the end of an attempt."""
+        state = self.targets.get(event.target)
+        if state is None:
+            return ()
+        counted = state.end(now - event.latency_ms)
+        self.path.add(event.target, event.outcome)
+        if event.outcome is Outcome.DRAINING:
+            self.notice(event.target, NoticeSource.ANSWER, now)
+            return self.refresh(now)
+        counts = self.count(state, event, counted, now)
+        return () if counts is None else self.learn(state, counts, now)
+
+    def count(
+        self, state: TargetState, event: AttemptEnded, counted: bool, now: float
+    ) -> TargetCounts | None:
+        """Return what the end of an attempt says of its target, None for nothing."""
+        target = event.target
+        trial = target in self.out
+        if event.outcome in FAILED:
+            return TargetCounts(target, failed=1, trial=trial)
+        if event.outcome is not Outcome.SERVED:
+            return None
+        self.median.add(event.latency_ms)
+        if counted or state.is_cold(now, self.service.warm_up_ms):
+            return TargetCounts(target, served=1, trial=trial)
+        slow = 0 < self.slow_mark < event.latency_ms
+        return TargetCounts(target, served=1, in_time=not slow, slow=slow, trial=trial)
+
+    @property
+    def slow_mark(self) -> float:
+        """Latency in milliseconds above which an answer is slow; 0 while unknown."""
+        if self.median.value == 0.0:
+            return 0.0
+        settings = self.settings
+        return max(settings.slow_minimum_ms, settings.slow_factor * self.median.value)
+
+    def learn(
+        self, state: TargetState, counts: TargetCounts, now: float
+    ) -> tuple[PoolCommand, ...]:
+        """Weigh counts of one target and report them."""
+        if self.path.suspected:
+            return ()
+        self.reporter.add(counts)
+        quarantine = state.quarantine
+        if quarantine is None:
+            self.failures.add(counts.target, counts.failed, counts.served)
+            self.slowness.add(counts.target, counts.slow, counts.in_time)
+            commands = self.judge(state, now) if counts.failed or counts.slow else ()
+        else:
+            commands = self.tried(state, quarantine, counts, now)
+        return (*commands, *self.reporter.due(now))
+
+    def judge(self, state: TargetState, now: float) -> tuple[PoolCommand, ...]:
+        """Eject the target for this VM if its own evidence suffices."""
+        target = state.vm.address
+        severity = weigh(self.failures, self.slowness, target, self.threshold)
+        if severity is None or self.path.judge():
+            return ()
+        until = now + state.hold_down.begin(now)
+        state.quarantine = Quarantine(until, self.new_trial(), severity)
+        self.refresh(now)
+        return (Ejected(target, f"own evidence, {severity:.0%} bad"),)
+
+    def new_trial(self) -> Trial:
+        """Return a trial against the service's present base rates."""
+        return Trial(self.settings.hold, self.failures.base, self.slowness.base)
+
+    def tried(
+        self, state: TargetState, quarantine: Quarantine, counts: TargetCounts, now: float
+    ) -> tuple[PoolCommand, ...]:
+        """Weigh a trial; while a keeper decides, it is only reported."""
+        if now < quarantine.until or now < quarantine.keeper_until:
+            return ()
+        match quarantine.trial.add(counts):
+            case TrialResult.PASSED:
+                return self.take_in(state, now)
+            case TrialResult.REFUSED:
+                quarantine.trial = self.new_trial()
+                quarantine.hold(now + state.hold_down.begin(now))
+                self.refresh(now)
+            case TrialResult.OPEN:
+                pass
+        return ()
+
+    def take_in(self, state: TargetState, now: float) -> tuple[PoolCommand, ...]:
+        """End a quarantine; the target warms up again."""
+        target = state.vm.address
+        state.quarantine = None
+        state.hold_down.end(now)
+        if target in self.out:
+            state.ramp_from = now
+        self.failures.restart(target)
+        self.slowness.restart(target)
+        self.refresh(now)
+        return (Returned(target),)
+
+    def listed(self, vms: tuple[Vm, ...], now: float) -> None:
+        """Go by a new list; targets of the first list count as warm."""
+        before = self.targets
+        self.targets = {}
+        for vm in vms:
+            state = before.get(vm.address)
+            if state is None or state.vm.name != vm.name:
+                state = TargetState(vm, now if before else None, self.settings)
+                self.failures.restart(vm.address)
+                self.slowness.restart(vm.address)
+            state.vm = vm
+            self.targets[vm.address] = state
+            self.bind_notice(vm)
+            if vm.state is VmState.LEAVING:
+                self.notice(vm.address, NoticeSource.LIST, now)
+        self.failures.keep(self.targets)
+        self.slowness.keep(self.targets)
+        self.path.keep(self.targets)
+
+    def bind_notice(self, vm: Vm) -> None:
+        """Tie a notice that came before the list to its VM; drop one meant for another VM."""
+        notice = self.notices.get(vm.address)
+        if notice is None or notice.vm == vm.name:
+            return
+        if notice.vm:
+            del self.notices[vm.address]
+        else:
+            self.notices[vm.address] = Notice(vm.name, notice.until)
+
+    def notice(self, target: Address, source: NoticeSource, now: float) -> None:
+        """Give a target no new work from now on."""
+        state = self.targets.get(target)
+        known = self.notices.get(target)
+        lapses = source is NoticeSource.ANSWER
+        until = now + self.service.leaving.drain_ms if lapses else inf
+        name = state.vm.name if state else ""
+        if known is not None and known.vm in ("", name):
+            until = max(until, known.until)
+        self.notices[target] = Notice(name, until)
+
+    def is_leaving(self, state: TargetState) -> bool:
+        """Say whether list, answer or file has the target leave."""
+        address = state.vm.address
+        notice = self.notices.get(address)
+        noticed = notice is not None and notice.vm in ("", state.vm.name)
+        return noticed or str(address) in self.service.leaving.targets
+
+    def ejection_heard(self, ejection: Ejection, now: float) -> tuple[PoolCommand, ...]:
+        """Follow a keeper's ejection or its repetition."""
+        state = self.targets.get(ejection.target)
+        if state is None:
+            return ()
+        domains = ejection.failure_domains
+        if domains and self.failure_domain not in domains:
+            return self.return_heard(ejection.target, now)
+        until = now if ejection.trial else now + ejection.hold_ms
+        quarantine = state.quarantine
+        if quarantine is None:
+            quarantine = Quarantine(until, self.new_trial(), ejection.severity)
+            state.quarantine = quarantine
+            commands: tuple[PoolCommand, ...] = (Ejected(ejection.target, ejection.reason),)
+        else:
+            commands = ()
+            if not ejection.trial:
+                quarantine.hold(until)
+            elif now < quarantine.until:
+                quarantine.until = quarantine.probe_at = now
+        quarantine.severity = ejection.severity
+        quarantine.keeper_until = now + ejection.expiry_ms
+        return commands
+
+    def return_heard(self, target: Address, now: float) -> tuple[PoolCommand, ...]:
+        """Follow a keeper's return, unless the ejection is this VM's own."""
+        state = self.targets.get(target)
+        if state is None or state.quarantine is None or state.quarantine.keeper_until == 0.0:
+            return ()
+        return self.take_in(state, now)
+
+    def probe_ended(self, target: Address, healthy: bool) -> tuple[PoolCommand, ...]:
+        """Let trials begin after a good probe; alone it brings no target back."""
+        state = self.targets.get(target)
+        if state is None or not healthy:
+            return ()
+        self.path.add(target, Outcome.SERVED)
+        if state.quarantine is not None:
+            state.quarantine.probed = True
+        return ()
+
+    def ticked(self, now: float) -> tuple[PoolCommand, ...]:
+        """Find overdue requests, lapsed notices, probes and reports that are due."""
+        commands: list[PoolCommand] = []
+        self.lapse(now)
+        mark = self.slow_mark
+        for state in self.targets.values():
+            if mark and state.waiting and state.waiting[0] < now - mark:
+                commands += self.overdue(state, now)
+            commands += self.probes(state, now)
+        commands += self.suspect_self()
+        commands += self.path.probes(now)
+        commands += self.reporter.due(now)
+        return tuple(commands)
+
+    def overdue(self, state: TargetState, now: float) -> tuple[PoolCommand, ...]:
+        """Count requests in flight past the mark as slow."""
+        count = state.take_overdue(now - self.slow_mark)
+        if not count or state.is_cold(now, self.service.warm_up_ms):
+            return ()
+        target = state.vm.address
+        return self.learn(state, TargetCounts(target, slow=count, trial=target in self.out), now)
+
+    def lapse(self, now: float) -> None:
+        """Let answers' notices lapse; the target then has to prove itself as after an ejection."""
+        for target, notice in tuple(self.notices.items()):
+            if now >= notice.until:
+                del self.notices[target]
+                state = self.targets.get(target)
+                if state is not None and state.quarantine is None:
+                    state.quarantine = Quarantine(now, self.new_trial(), 1.0)
+
+    def probes(self, state: TargetState, now: float) -> tuple[PoolCommand, ...]:
+        """Ask for a probe where one is due."""
+        quarantine = state.quarantine
+        if quarantine is None:
+            return ()
+        if quarantine.probed or now < quarantine.probe_at or state.leaving:
+            return ()
+        quarantine.probe_at = now + PROBE_GAP_MS
+        return (Probe(state.vm.address),)
+
+    def suspect_self(self) -> tuple[PoolCommand, ...]:
+        """Say when this VM's own path becomes the suspect, or no longer is."""
+        suspected = self.path.judge()
+        if suspected == self.path.suspected:
+            return ()
+        self.path.suspected = suspected
+        if suspected:
+            self.reporter.discard()
+            return (SelfSuspected(self.service.name),)
+        return (SelfCleared(self.service.name),)
+
+    def refresh(self, now: float) -> tuple[PoolCommand, ...]:
+        """Work out anew which targets are in use; idle connections to leaving ones close."""
+        newly = []
+        for state in self.targets.values():
+            leaving = self.is_leaving(state)
+            if leaving and not state.leaving:
+                newly.append(CloseIdle(state.vm.address))
+            state.leaving = leaving
+        staying = [state for state in self.targets.values() if not state.leaving]
+        candidates = tuple(self.candidate(state, now) for state in staying)
+        self.out = left_out(candidates, self.service.floor)
+        self.in_use = tuple(state for state in staying if state.vm.address not in self.out)
+        self.on_trial = tuple(state for state in staying if state.vm.address in self.out)
+        return tuple(newly)
+
+    def candidate(self, state: TargetState, now: float) -> Candidate:
+        """Return the target as the floor sees it."""
+        severity = state.quarantine.severity if state.quarantine else None
+        warm = not state.is_cold(now, self.service.warm_up_ms)
+        if warm:
+            state.ramp_from = None
+        return Candidate(state.vm.address, warm, severity)
+
+
+def weigh(failures: Stream, slowness: Stream, target: Address, least: float) -> float | None:
+    """Return how sick a target is, or None where the evidence is below `least`.
+
+    Parameters
+    ----------
+    failures, slowness
+        The evidence.
+    target
+        The target.
+    least
+        Log-likelihood ratio that suffices.
+
+    Returns
+    -------
+    float or None
+        Share of bad outcomes; slow ones count half.
+    """
+    for stream, scale in ((failures, 1.0), (slowness, SLOW_SEVERITY)):
+        sums = stream.sums.get(target)
+        if sums is None:
+            continue
+        worst = sums.worst
+        if worst.score >= least:
+            return scale * worst.bad / (worst.bad + worst.good)
+    return None
--- /dev/null
+++ b/cactusvane/pool/reporter.py
@@ -0,0 +1,66 @@
+"""What an entry tells the keeper: failures at once, successes as rare sums."""
+
+from random import Random
+
+from cactusvane.fleet.vm import Address
+from cactusvane.pool.messages import ReportEvidence, TargetCounts
+from cactusvane.pool.settings import PoolSettings
+
+
+class Reporter:
+    """Gathers counts of outcomes until they are due.
+
+    Parameters
+    ----------
+    service
+        Name of the service.
+    settings
+        How often to report.
+    random
+        Spreads the reports of many VMs over time.
+    """
+
+    def __init__(self, service: str, settings: PoolSettings, random: Random) -> None:
+        self.service = service
+        self.settings = settings
+        self.counts: dict[Address, TargetCounts] = {}
+        self.urgent: set[Address] = set()
+        self.sum_at = random.random() * settings.report_ms
+        self.urgent_at = 0.0
+
+    def add(self, counts: TargetCounts) -> None:
+        """Take in counts of one target."""
+        held = self.counts.get(counts.target)
+        if held is not None:
+            counts = TargetCounts(
+                counts.target,
+                held.served + counts.served,
+                held.failed + counts.failed,
+                held.in_time + counts.in_time,
+                held.slow + counts.slow,
+                held.trial or counts.trial,
+            )
+        self.counts[counts.target] = counts
+        if counts.failed or counts.slow:
+            self.urgent.add(counts.target)
+
+    def due(self, now: float) -> tuple[ReportEvidence, ...]:
+        """Return the report that is due at `now`, if any."""
+        if now >= self.sum_at:
+            self.sum_at = now + self.settings.report_ms
+            return self.take(tuple(self.counts))
+        if self.urgent and now >= self.urgent_at:
+            self.urgent_at = now + self.settings.urgent_ms
+            return self.take(tuple(self.urgent))
+        return ()
+
+    def take(self, targets: tuple[Address, ...]) -> tuple[ReportEvidence, ...]:
+        """Return a report on `targets` and forget their counts."""
+        counts = tuple(self.counts.pop(target) for target in targets)
+        self.urgent.difference_update(targets)
+        return (ReportEvidence(self.service, counts),) if counts else ()
+
+    def discard(self) -> None:
+        """Forget all counts."""
+        self.counts.clear()
+        self.urgent.clear()
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,222 @@
+from random import Random
+
+import pytest
+
+from cactusvane.configuration.model import Health, Leaving, Route, Service
+from cactusvane.fleet.vm import Address, Vm, VmState
+from cactusvane.pool.messages import (
+    AttemptEnded,
+    AttemptStarted,
+    CloseIdle,
+    Ejected,
+    Ejection,
+    EjectionHeard,
+    LeavingNoticed,
+    NoticeSource,
+    Outcome,
+    Probe,
+    ProbeEnded,
+    ReportEvidence,
+    Returned,
+    ReturnHeard,
+    SelfCleared,
+    SelfSuspected,
+    ServiceChanged,
+    TargetsListed,
+    Ticked,
+)
+from cactusvane.pool.pool import Pool
+
+DOMAINS = ("Gobabis", "Witvlei", "Leonardville")
+VMS = tuple(
+    Vm(f"t{n}", Address("10.0.0.1", 8000 + n), DOMAINS[n % 3], service="records") for n in range(6)
+)
+SICK = VMS[0].address
+
+
+def service(**changes: object) -> Service:
+    values: dict[str, object] = {
+        "name": "records",
+        "hosts": ("records",),
+        "routes": (Route("/", ("GET",), True, "read"),),
+        "targets": 6,
+        "floor": 4,
+        "slots": 4,
+        "health": Health(20.0, 1.0),
+    }
+    return Service(**(values | changes))  # type: ignore[arg-type]
+
+
+def listed_pool(**changes: object) -> Pool:
+    pool = Pool(service(**changes), "Gobabis", Random(1))
+    pool.handle(TargetsListed(VMS), 0.0)
+    return pool
+
+
+def run(pool, target, outcome, now, latency=20.0):
+    pool.handle(AttemptStarted(target), now)
+    return pool.handle(AttemptEnded(target, outcome, latency), now + latency)
+
+
+def traffic(pool, outcomes, rounds, now=0.0):
+    commands = []
+    for _ in range(rounds):
+        for vm in VMS:
+            now += 25.0
+            outcome = outcomes.get(vm.address, Outcome.SERVED)
+            commands += run(pool, vm.address, outcome, now)
+        commands += pool.handle(Ticked(), now + 25.0)
+    return commands, now + 25.0
+
+
+def test_failing_target_is_ejected_on_own_evidence():
+    pool = listed_pool()
+    commands, _ = traffic(pool, {SICK: Outcome.FAILED}, 10)
+    assert [c.target for c in commands if isinstance(c, Ejected)] == [SICK]
+    assert pool.out == {SICK}
+
+
+def test_shed_is_not_sickness():
+    pool = listed_pool()
+    commands, _ = traffic(pool, {SICK: Outcome.SHED}, 50)
+    assert not [c for c in commands if isinstance(c, Ejected)]
+
+
+def test_outage_common_to_all_ejects_nobody():
+    pool = listed_pool()
+    commands, _ = traffic(pool, {vm.address: Outcome.FAILED for vm in VMS}, 30)
+    assert not [c for c in commands if isinstance(c, Ejected)]
+
+
+def test_floor_keeps_the_least_sick():
+    pool = listed_pool(floor=5)
+    for vm, severity in ((VMS[1], 0.3), (VMS[2], 0.9)):
+        heard = Ejection(vm.address, (), 5_000.0, 4_000.0, False, severity, "sick")
+        pool.handle(EjectionHeard(heard), 0.0)
+    assert pool.out == {VMS[2].address}
+
+
+def test_leaving_counts_as_missing_capacity():
+    pool = listed_pool(floor=4)
+    for vm in VMS[:2]:
+        pool.handle(LeavingNoticed(vm.address, NoticeSource.LIST), 0.0)
+    heard = Ejection(VMS[3].address, (), 5_000.0, 4_000.0, False, 0.9, "sick")
+    pool.handle(EjectionHeard(heard), 0.0)
+    assert not pool.out
+
+
+def test_cold_target_counts_as_missing_capacity_and_gets_little():
+    pool = listed_pool(floor=6)
+    cold = Vm("t9", Address("10.0.0.9", 80), "Gobabis", service="records")
+    pool.handle(TargetsListed((*VMS, cold)), 1_000.0)
+    heard = Ejection(SICK, (), 5_000.0, 40_000.0, False, 0.9, "sick")
+    pool.handle(EjectionHeard(heard), 1_000.0)
+    assert not pool.out
+    chosen = [pool.choose(1_100.0) for _ in range(1_000)]
+    assert 0 < chosen.count(cold) < 100
+    pool.handle(Ticked(), 12_000.0)
+    assert pool.out == {SICK}
+
+
+def test_slowness_of_a_cold_target_is_not_evidence():
+    pool = listed_pool()
+    traffic(pool, {}, 10)
+    cold = Vm("t9", Address("10.0.0.9", 80), "Gobabis", service="records")
+    pool.handle(TargetsListed((*VMS, cold)), 3_000.0)
+    for step in range(20):
+        run(pool, cold.address, Outcome.SERVED, 3_000.0 + step * 300.0, 250.0)
+    assert pool.slowness.score(cold.address) == 0.0
+
+
+def test_never_ending_requests_count_while_in_flight():
+    pool = listed_pool()
+    _, now = traffic(pool, {}, 10)
+    for _ in range(20):
+        pool.handle(AttemptStarted(SICK), now)
+    commands = pool.handle(Ticked(), now + 200.0)
+    assert [c.target for c in commands if isinstance(c, Ejected)] == [SICK]
+
+
+@pytest.mark.parametrize("source", ["list", "answer", "file", "notice"])
+def test_leaving_target_gets_nothing_more(source):
+    pool = listed_pool()
+    match source:
+        case "list":
+            gone = Vm("t0", SICK, "Gobabis", service="records", state=VmState.LEAVING)
+            commands = pool.handle(TargetsListed((gone, *VMS[1:])), 1.0)
+        case "answer":
+            commands = run(pool, SICK, Outcome.DRAINING, 1.0)
+        case "file":
+            changed = service(leaving=Leaving((str(SICK),)))
+            commands = pool.handle(ServiceChanged(changed), 1.0)
+        case _:
+            commands = pool.handle(LeavingNoticed(SICK, NoticeSource.LIST), 1.0)
+    assert commands == (CloseIdle(SICK),)
+    assert all(pool.choose(2.0, idempotent=True).address != SICK for _ in range(200))
+
+
+def test_notice_before_the_list_is_kept():
+    pool = Pool(service(), "Gobabis", Random(1))
+    pool.handle(LeavingNoticed(SICK, NoticeSource.LIST), 0.0)
+    pool.handle(TargetsListed(VMS), 1.0)
+    assert all(pool.choose(2.0).address != SICK for _ in range(200))
+
+
+def test_return_needs_a_probe_and_an_idempotent_trial():
+    pool = listed_pool()
+    _, now = traffic(pool, {SICK: Outcome.FAILED}, 10)
+    now += 6_000.0
+    assert Probe(SICK) in pool.handle(Ticked(), now)
+    assert all(pool.choose(now, idempotent=True).address != SICK for _ in range(100))
+    pool.handle(ProbeEnded(SICK, True), now)
+    assert all(pool.choose(now).address != SICK for _ in range(100))
+    returned = []
+    for _ in range(200):
+        now += 600.0
+        vm = pool.choose(now, idempotent=True)
+        returned += [c for c in run(pool, vm.address, Outcome.SERVED, now) if c == Returned(SICK)]
+    assert returned == [Returned(SICK)]
+
+
+def test_keeper_ejection_lapses_into_a_trial_without_its_keeper():
+    pool = listed_pool()
+    heard = Ejection(SICK, (), 1_000.0, 4_000.0, False, 0.9, "sick")
+    pool.handle(EjectionHeard(heard), 0.0)
+    pool.handle(Ticked(), 5_000.0)
+    pool.handle(ProbeEnded(SICK, True), 5_000.0)
+    assert pool.choose(5_001.0).address != SICK
+    assert pool.choose(5_001.0, idempotent=True).address == SICK
+
+
+def test_keeper_return_does_not_undo_own_ejection():
+    pool = listed_pool()
+    _, now = traffic(pool, {SICK: Outcome.FAILED}, 10)
+    assert pool.handle(ReturnHeard(SICK), now) == ()
+    assert pool.out == {SICK}
+
+
+def test_ejection_for_another_failure_domain_is_not_followed():
+    pool = listed_pool()
+    heard = Ejection(SICK, ("Witvlei",), 1_000.0, 4_000.0, False, 0.9, "sick")
+    pool.handle(EjectionHeard(heard), 0.0)
+    assert not pool.out
+
+
+def test_vm_without_a_path_suspects_itself_and_ejects_nobody():
+    pool = listed_pool()
+    commands, now = traffic(pool, {vm.address: Outcome.UNREACHABLE for vm in VMS}, 4)
+    assert SelfSuspected("records") in commands
+    assert not [c for c in commands if isinstance(c, Ejected)]
+    late, now = traffic(pool, {vm.address: Outcome.UNREACHABLE for vm in VMS}, 10, now)
+    assert not [c for c in late if isinstance(c, ReportEvidence)]
+    for vm in VMS:
+        pool.handle(ProbeEnded(vm.address, True), now)
+    assert SelfCleared("records") in pool.handle(Ticked(), now)
+
+
+def test_failures_are_reported_at_once_and_successes_as_sums():
+    pool = listed_pool()
+    assert [c for c in run(pool, SICK, Outcome.FAILED, 0.0) if isinstance(c, ReportEvidence)]
+    commands, _ = traffic(pool, {}, 14, 100.0)
+    reports = [c for c in commands if isinstance(c, ReportEvidence)]
+    assert len(reports) <= 4
