Publish through one conditional write, and follow versions that only grow

Reading the head back after a lost answer was ruled out: another publish may have moved it on. The publish id has a history row written in the same transaction, so a repeat of the transaction cannot take effect twice and a conflict can be settled at any time. Operators' changes are compared with what they last saw, so changes to different services rebase and the same one is a named conflict. The state machine of versions runs reads, offers, false objects and restarts against it.

--- /dev/null
+++ b/cactusvane/configuration/follow.py
@@ -0,0 +1,215 @@
+"""Keep a VM's configuration up to date from the platform and from other VMs."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import msgspec
+
+from cactusvane import events
+from cactusvane.clock import MS_PER_SECOND, Clock
+from cactusvane.configuration.digest import decode, digest
+from cactusvane.configuration.model import Configuration, Head
+from cactusvane.configuration.publish import read_head
+from cactusvane.configuration.versions import (
+    Adopt,
+    Fetch,
+    HeadOffered,
+    HeadRead,
+    ObjectRead,
+    Reject,
+    VersionCommand,
+    VersionEvent,
+    Versions,
+)
+from cactusvane.errors import NotFoundError, PlatformError
+from cactusvane.events import Event
+from cactusvane.fleet.vm import Address
+from cactusvane.platform.interface import Platform
+from cactusvane.settings import Settings
+
+READS_PER_SECOND = 200.0
+"""Reads of the head that the whole fleet may do."""
+
+JITTER = 0.1
+"""Largest deviation of an interval, as a share of it; keeps VMs from reading in step."""
+
+FETCH_ATTEMPTS = 4
+FETCH_PAUSE_MS = 250.0
+
+FetchFromPeers = Callable[[Head, tuple[Address, ...]], Awaitable[bytes | None]]
+
+
+def read_interval_ms(head_ms: float, vms: int) -> float:
+    """Return how long a VM waits between reads of the head.
+
+    Examples
+    --------
+    >>> read_interval_ms(1_000, 48), read_interval_ms(1_000, 5_700)
+    (1000, 28500.0)
+    """
+    return max(head_ms, vms * MS_PER_SECOND / READS_PER_SECOND)
+
+
+class Follower:
+    """Follows the published configuration.
+
+    Parameters
+    ----------
+    settings
+        Of the daemon.
+    platform
+        Where the head row and the objects are.
+    clock
+        Not read yet; kept so that shells are built alike.
+
+    Attributes
+    ----------
+    configuration
+        What is in force, None before the first.
+    data
+        Its stored form, for other VMs that ask.
+    on_change
+        Called with each configuration that comes into force.
+    vms
+        Size of the fleet; the interval between reads grows with it.
+    fetch_from_peers
+        Asks the VMs at these addresses for an object, any VM where none are given.
+    """
+
+    def __init__(self, settings: Settings, platform: Platform, clock: Clock) -> None:
+        self.settings = settings
+        self.platform = platform
+        self.clock = clock
+        self.random = Random(f"{settings.seed}/{settings.vm}/head")
+        self.versions = Versions()
+        self.configuration: Configuration | None = None
+        self.data = b""
+        self.on_change: list[Callable[[Configuration], None]] = []
+        self.vms = 1
+        self.fetch_from_peers: FetchFromPeers | None = None
+        self.sources: dict[str, set[Address]] = {}
+        self.fetched: dict[str, Configuration] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.reachable = True
+
+    @property
+    def head(self) -> Head | None:
+        """The head in force."""
+        return self.versions.head
+
+    async def run(self) -> None:
+        """Read the head again and again until cancelled."""
+        try:
+            while True:
+                await self.read()
+                await asyncio.sleep(self.next_interval_ms() / MS_PER_SECOND)
+        finally:
+            for task in self.tasks:
+                task.cancel()
+
+    def next_interval_ms(self) -> float:
+        """Return the time until the next read, with jitter."""
+        interval = read_interval_ms(self.settings.head_ms, self.vms)
+        return interval * self.random.uniform(1.0 - JITTER, 1.0 + JITTER)
+
+    async def read(self) -> None:
+        """Read the head once; an outage is logged when it begins and when it ends."""
+        try:
+            head = await read_head(self.platform)
+        except (PlatformError, msgspec.DecodeError) as error:
+            if self.reachable:
+                events.write(Event.CONFIGURATION_UNREADABLE, reason=str(error))
+            self.reachable = False
+            return
+        if not self.reachable:
+            events.write(Event.CONFIGURATION_READABLE)
+        self.reachable = True
+        if head:
+            self.handle(HeadRead(head))
+
+    def offer(self, head: Head, failure_domain: str, source: Address | None = None) -> None:
+        """Take in a head that another VM has in force.
+
+        Parameters
+        ----------
+        head
+            What the VM says.
+        failure_domain
+            Where the VM stands.
+        source
+            Where it takes messages of other VMs, to fetch the object from.
+        """
+        if source and head.version > self.versions.version:
+            self.sources.setdefault(head.digest, set()).add(source)
+        self.handle(HeadOffered(head, failure_domain))
+
+    def handle(self, event: VersionEvent) -> None:
+        """Pass an event to the decision and carry out what it returns."""
+        for command in self.versions.handle(event):
+            self.carry_out(command)
+
+    def carry_out(self, command: VersionCommand) -> None:
+        """Carry out one command."""
+        match command:
+            case Fetch(head):
+                task = asyncio.get_running_loop().create_task(self.fetch(head))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
+            case Adopt(head, data):
+                self.adopt(head, data)
+            case Reject(head, reason):
+                events.write(Event.CONFIGURATION_REJECTED, version=head.version, reason=reason)
+
+    def adopt(self, head: Head, data: bytes) -> None:
+        """Put a configuration in force."""
+        self.data = data
+        self.configuration = self.fetched[head.digest]
+        self.fetched.clear()
+        self.sources.clear()
+        events.write(Event.CONFIGURATION_ADOPTED, version=head.version, digest=head.digest)
+        for listener in self.on_change:
+            listener(self.configuration)
+
+    async def fetch(self, head: Head) -> None:
+        """Fetch an object, from peers that offered it before the store, and report the result."""
+        data: bytes | None = None
+        for attempt in range(FETCH_ATTEMPTS):
+            data = await self.fetch_once(head)
+            if data is not None and self.keep_decoded(head, data):
+                break
+            data = None
+            await asyncio.sleep(FETCH_PAUSE_MS * 2**attempt / MS_PER_SECOND)
+        self.handle(ObjectRead(head, data))
+
+    def keep_decoded(self, head: Head, data: bytes) -> bool:
+        """Decode an object before it is decided on, and say whether it could be read."""
+        try:
+            self.fetched[head.digest] = decode(data)
+        except msgspec.DecodeError:
+            return False
+        return True
+
+    async def fetch_once(self, head: Head) -> bytes | None:
+        """Ask peers that have the object, then the store, then any peer."""
+        sources = tuple(sorted(self.sources.get(head.digest, ())))
+        return (
+            (await self.ask_peers(head, sources) if sources else None)
+            or await self.ask_store(head)
+            or await self.ask_peers(head, ())
+        )
+
+    async def ask_peers(self, head: Head, sources: tuple[Address, ...]) -> bytes | None:
+        """Return the object from a peer, or None; a peer's wrong bytes count as none."""
+        if self.fetch_from_peers is None:
+            return None
+        data = await self.fetch_from_peers(head, sources)
+        return data if data is not None and digest(data) == head.digest else None
+
+    async def ask_store(self, head: Head) -> bytes | None:
+        """Return the object from the store, or None."""
+        try:
+            data = await self.platform.get_object(head.digest)
+        except (PlatformError, NotFoundError):
+            return None
+        return data if digest(data) == head.digest else None
--- /dev/null
+++ b/cactusvane/configuration/publish.py
@@ -0,0 +1,183 @@
+"""Publish a configuration: the object first, then one conditional write that accepts it."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from cactusvane.clock import MS_PER_SECOND
+from cactusvane.configuration.digest import decode, digest, encode
+from cactusvane.configuration.merge import Change, digest_services, merge
+from cactusvane.configuration.model import Configuration, Head
+from cactusvane.errors import (
+    PlatformUnavailableError,
+    PublishUnsettledError,
+    WriteConflictError,
+)
+from cactusvane.platform.interface import ABSENT, Platform, Row, Write
+
+TABLE = "configuration"
+HEAD_KEY = "head"
+HISTORY_TABLE = "publishes"
+ATTEMPTS = 6
+FIRST_PAUSE_MS = 100.0
+
+Pause = Callable[[float], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """What became of a publish.
+
+    Parameters
+    ----------
+    head
+        The head that accepted it, or that held the same content already.
+    changed
+        Names of services that it changed.
+    """
+
+    head: Head
+    changed: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Base:
+    """The head as read; version 0 before the first publish."""
+
+    head: Head
+    row_version: int
+    configuration: Configuration
+
+
+NOTHING = Base(Head(0, "", ""), ABSENT, Configuration())
+
+
+async def sleep_ms(ms: float) -> None:
+    """Sleep for `ms` milliseconds."""
+    await asyncio.sleep(ms / MS_PER_SECOND)
+
+
+async def publish(
+    platform: Platform, change: Change, publish_id: str, pause: Pause = sleep_ms
+) -> Published:
+    """Publish `change`; doing so again with the same `publish_id` changes nothing more.
+
+    Parameters
+    ----------
+    platform
+        Where the configuration is kept.
+    change
+        What the operator wants.
+    publish_id
+        Never used for another publish.
+    pause
+        Sleeps for the given milliseconds; tests replace it.
+
+    Raises
+    ------
+    ConfigurationConflictError
+        Someone else changed the same service; nothing was accepted.
+    PlatformUnavailableError
+        The platform was down before anything was written to the head; nothing was accepted.
+    PublishUnsettledError
+        The platform went down in the middle; the change may have been accepted.
+    """
+    accepted = await read_accepted(platform, publish_id)
+    if accepted:
+        return Published(accepted, ())
+    while True:
+        base = await read_base(platform)
+        merged = merge(base.configuration, change)
+        changed = find_changed(base.configuration, merged)
+        if not changed and base.head.version:
+            return Published(base.head, ())
+        data = encode(merged)
+        head = Head(base.head.version + 1, digest(data), publish_id)
+        await store(platform, head, data, pause)
+        if await accept(platform, base, head, pause):
+            return Published(head, changed)
+
+
+async def read_accepted(platform: Platform, publish_id: str) -> Head | None:
+    """Return the head that accepted the publish, or None."""
+    row = await platform.read(HISTORY_TABLE, publish_id)
+    return decode_head(row) if row else None
+
+
+async def read_head(platform: Platform) -> Head | None:
+    """Return the head in force, or None before the first publish."""
+    row = await platform.read(TABLE, HEAD_KEY)
+    return decode_head(row) if row else None
+
+
+def decode_head(row: Row) -> Head:
+    """Return the head that a row holds."""
+    return msgspec.json.decode(row.value, type=Head)
+
+
+async def read_base(platform: Platform) -> Base:
+    """Return the head and what it holds."""
+    row = await platform.read(TABLE, HEAD_KEY)
+    if row is None:
+        return NOTHING
+    head = decode_head(row)
+    return Base(head, row.version, decode(await platform.get_object(head.digest)))
+
+
+def find_changed(before: Configuration, after: Configuration) -> tuple[str, ...]:
+    """Return names of services that differ."""
+    old, new = digest_services(before), digest_services(after)
+    return tuple(sorted(name for name in old | new if old.get(name) != new.get(name)))
+
+
+async def store(platform: Platform, head: Head, data: bytes, pause: Pause) -> None:
+    """Put the object, again after a lost answer; putting the same content twice is harmless."""
+    for attempt in range(ATTEMPTS):
+        try:
+            return await platform.put_object(head.digest, data)
+        except PlatformUnavailableError:
+            if attempt == ATTEMPTS - 1:
+                raise
+        await pause(FIRST_PAUSE_MS * 2**attempt)
+    return None
+
+
+async def accept(platform: Platform, base: Base, head: Head, pause: Pause) -> bool:
+    """Move the head, and say whether it was this publish that did.
+
+    The head and a history row for the publish id are written together. After a lost answer the
+    same transaction is sent again: it cannot take effect twice, since both rows have moved on. A
+    conflict is settled by the history row, which stays when others move the head further.
+
+    Raises
+    ------
+    PublishUnsettledError
+        The platform stayed silent; the change may have been accepted.
+    """
+    value = msgspec.json.encode(head).decode()
+    writes = (
+        Write(TABLE, HEAD_KEY, value, base.row_version),
+        Write(HISTORY_TABLE, head.publish_id, value, ABSENT),
+    )
+    for attempt in range(ATTEMPTS):
+        try:
+            await platform.commit(writes)
+        except WriteConflictError:
+            return await settle(platform, head, pause)
+        except PlatformUnavailableError:
+            await pause(FIRST_PAUSE_MS * 2**attempt)
+        else:
+            return True
+    raise PublishUnsettledError(head.publish_id)
+
+
+async def settle(platform: Platform, head: Head, pause: Pause) -> bool:
+    """Say after a conflict whether an earlier attempt of this publish was accepted."""
+    for attempt in range(ATTEMPTS):
+        try:
+            return await read_accepted(platform, head.publish_id) is not None
+        except PlatformUnavailableError:
+            await pause(FIRST_PAUSE_MS * 2**attempt)
+    raise PublishUnsettledError(head.publish_id)
--- a/cactusvane/errors.py
+++ b/cactusvane/errors.py
@@ -55,6 +55,23 @@
     """No answer came; a write may have taken effect all the same."""
 
 
+class PublishUnsettledError(PlatformUnavailableError):
+    """The platform went silent while a publish was being accepted.
+
+    Parameters
+    ----------
+    publish_id
+        Publishing again with it settles the matter and cannot publish twice.
+    """
+
+    def __init__(self, publish_id: str) -> None:
+        super().__init__(
+            "the platform went silent; the change may have been accepted. "
+            f"Publish again with --id {publish_id} to find out; this cannot publish twice"
+        )
+        self.publish_id = publish_id
+
+
 class WriteConflictError(PlatformError):
     """A conditional write found another version than it expected; nothing was written."""
 
--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -41,6 +41,13 @@
     HTTP_HANDLER_FAILED = EventKind(1101, logging.ERROR, "a request met an internal error: {error}")
     HTTP_SEND_FAILED = EventKind(1102, logging.ERROR, "an answer could not be sent: {error}")
 
+    CONFIGURATION_ADOPTED = EventKind(1601, logging.INFO, "version {version} is in force")
+    CONFIGURATION_REJECTED = EventKind(
+        1602, logging.WARNING, "version {version} was not taken: {reason}"
+    )
+    CONFIGURATION_UNREADABLE = EventKind(1603, logging.WARNING, "cannot read the head: {reason}")
+    CONFIGURATION_READABLE = EventKind(1604, logging.INFO, "the head can be read again")
+
 
 class JsonLines(logging.Formatter):
     """Format each record as one JSON object on one line."""
--- a/cactusvane/fleet/vm.py
+++ b/cactusvane/fleet/vm.py
@@ -46,6 +46,8 @@
         The service whose target it is; empty for an entry VM of the fleet.
     peer
         Where an entry VM takes messages of other VMs.
+    admin
+        Where an entry VM answers operators.
     state
         Live or leaving.
     """
@@ -56,4 +58,5 @@
     region: str = ""
     service: str = ""
     peer: Address | None = None
+    admin: Address | None = None
     state: VmState = VmState.LIVE
--- /dev/null
+++ b/tests/configuration/test_follow.py
@@ -0,0 +1,87 @@
+import asyncio
+
+from cactusvane.clock import ManualClock
+from cactusvane.configuration.digest import digest, encode
+from cactusvane.configuration.follow import Follower
+from cactusvane.configuration.merge import Change
+from cactusvane.configuration.model import Configuration, Head
+from cactusvane.configuration.publish import publish
+from cactusvane.configuration.versions import HeadRead
+from cactusvane.fleet.vm import Address
+from cactusvane.settings import Settings
+from standins.store import Faults
+from tests.configuration.test_publish import service
+from tests.fakes import FakePlatform
+
+HERE = Address("127.0.0.1", 1)
+
+
+def follower(platform: FakePlatform) -> Follower:
+    settings = Settings("vm-1", "Gobabis", HERE, HERE, HERE, HERE)
+    return Follower(settings, platform, ManualClock())
+
+
+async def settle(follower: Follower) -> None:
+    while follower.tasks:
+        await asyncio.gather(*follower.tasks)
+
+
+def test_a_published_version_comes_into_force():
+    async def run() -> None:
+        platform = FakePlatform()
+        await publish(platform, Change((service("a"),)), "p1")
+        vm = follower(platform)
+        changes: list[Configuration] = []
+        vm.on_change.append(changes.append)
+        await vm.read()
+        await settle(vm)
+        await vm.read()
+        assert changes == [Configuration((service("a"),))]
+        assert vm.head is not None
+        assert vm.head.version == 1
+
+    asyncio.run(run())
+
+
+def test_a_vm_starts_from_peers_while_the_store_is_down():
+    async def run() -> None:
+        platform = FakePlatform()
+        platform.faults = Faults(down=True)
+        vm = follower(platform)
+        data = encode(Configuration((service("a"),)))
+        head = Head(7, digest(data), "p7")
+
+        async def peers(wanted: Head, sources: tuple[Address, ...]) -> bytes | None:
+            return data if Address("127.0.0.2", 2) in sources else b"wrong"
+
+        vm.fetch_from_peers = peers
+        await vm.read()
+        vm.offer(head, "Gobabis", Address("127.0.0.2", 2))
+        assert vm.head is None
+        vm.offer(head, "Witvlei", Address("127.0.0.3", 2))
+        await settle(vm)
+        assert vm.head == head
+        assert vm.data == data
+
+    asyncio.run(run())
+
+
+def test_an_object_that_cannot_be_read_is_not_in_force():
+    async def run() -> None:
+        platform = FakePlatform()
+        head = Head(1, digest(b"{}}"), "p1")
+        await platform.put_object(head.digest, b"{}}")
+        vm = follower(platform)
+        vm.handle(HeadRead(head))
+        await settle(vm)
+        assert vm.head is None
+
+    asyncio.run(run())
+
+
+def test_reads_of_a_large_fleet_stay_within_the_budget():
+    vm = follower(FakePlatform())
+    vm.vms = 5_700
+    intervals = [vm.next_interval_ms() for _ in range(1_000)]
+    rate = 5_700 * 1_000.0 / (sum(intervals) / len(intervals))
+    assert rate < 220.0
--- /dev/null
+++ b/tests/configuration/test_versions.py
@@ -0,0 +1,110 @@
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from cactusvane.configuration.digest import digest
+from cactusvane.configuration.model import Head
+from cactusvane.configuration.versions import (
+    Adopt,
+    Fetch,
+    HeadOffered,
+    HeadRead,
+    ObjectRead,
+    Reject,
+    Versions,
+)
+
+DOMAINS = ("Estrie", "Montérégie", "Beauce")
+VMS = st.integers(0, 5)
+
+
+def stored(version: int) -> bytes:
+    return f"configuration {version}".encode()
+
+
+def head(version: int) -> Head:
+    return Head(version, digest(stored(version)), f"publish-{version}")
+
+
+class Fleet(RuleBasedStateMachine):
+    """VMs that read, hear, fetch, restart, and meet stale peers and false objects."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.accepted = 1
+        self.vms = [Versions() for _ in range(6)]
+        self.seen = [0] * 6
+        self.wanted: list[list[Head]] = [[] for _ in range(6)]
+
+    def pass_on(self, vm: int, event: HeadRead | HeadOffered | ObjectRead) -> None:
+        for command in self.vms[vm].handle(event):
+            match command:
+                case Fetch(wanted):
+                    assert wanted.version > self.vms[vm].version
+                    self.wanted[vm].append(wanted)
+                case Adopt(adopted, data):
+                    assert data == stored(adopted.version)
+                    assert adopted.version > self.seen[vm]
+                    self.seen[vm] = adopted.version
+                case Reject():
+                    pass
+
+    @rule()
+    def publish(self) -> None:
+        self.accepted += 1
+
+    @rule(vm=VMS, age=st.integers(0, 3))
+    def read_head(self, vm: int, age: int) -> None:
+        self.pass_on(vm, HeadRead(head(max(1, self.accepted - age))))
+
+    @rule(vm=VMS, peer=VMS)
+    def hear(self, vm: int, peer: int) -> None:
+        offered = self.vms[peer].head
+        if offered:
+            self.pass_on(vm, HeadOffered(offered, DOMAINS[peer % 3]))
+
+    @rule(vm=VMS, kind=st.sampled_from(["right", "false", "none"]))
+    def end_fetch(self, vm: int, kind: str) -> None:
+        if self.wanted[vm]:
+            wanted = self.wanted[vm].pop(0)
+            data = {"right": stored(wanted.version), "false": b"x", "none": None}[kind]
+            self.pass_on(vm, ObjectRead(wanted, data))
+
+    @rule(vm=VMS)
+    def restart(self, vm: int) -> None:
+        self.vms[vm] = Versions()
+        self.seen[vm] = 0
+        self.wanted[vm] = []
+
+    @invariant()
+    def in_force_is_what_was_adopted(self) -> None:
+        for vm, versions in enumerate(self.vms):
+            assert versions.version == self.seen[vm]
+            assert versions.version <= self.accepted
+
+
+TestFleet = Fleet.TestCase
+TestFleet.settings = settings(derandomize=True, deadline=None, stateful_step_count=60)
+
+
+def test_peers_of_one_failure_domain_do_not_decide_the_first_version():
+    versions = Versions()
+    assert versions.handle(HeadOffered(head(3), "Estrie")) == ()
+    assert versions.handle(HeadOffered(head(3), "Estrie")) == ()
+    assert versions.handle(HeadOffered(head(5), "Beauce")) == (Fetch(head(5)),)
+
+
+def test_a_failed_fetch_is_tried_again_at_the_next_offer():
+    versions = Versions()
+    versions.handle(HeadRead(head(2)))
+    assert versions.handle(HeadRead(head(2))) == ()
+    versions.handle(ObjectRead(head(2), None))
+    assert versions.handle(HeadRead(head(2))) == (Fetch(head(2)),)
+
+
+def test_another_digest_for_the_version_in_force_is_reported():
+    versions = Versions()
+    versions.handle(HeadRead(head(2)))
+    versions.handle(ObjectRead(head(2), stored(2)))
+    (command,) = versions.handle(HeadRead(Head(2, "other", "p")))
+    assert isinstance(command, Reject)
