Send requests through a daemon to targets and back

The entry carries events to the pools and their commands back; a pure aggregate decides after each attempt. A verdict covers all attempts of a request: an attempt that may have run makes the whole request one. Cancelling non-idempotent work when its caller leaves was ruled out: the outcome would be unknown for no gain.

--- /dev/null
+++ b/cactusvane/daemon.py
@@ -0,0 +1,267 @@
+"""The daemon: ``cactusvaned SETTINGS.json``.
+
+A shell round the entry: it reads settings, follows configuration and VM list, listens, and on
+SIGTERM stops being ready, finishes what is in flight and closes.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import gc
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+import msgspec
+
+from cactusvane import events
+from cactusvane.clock import MS_PER_SECOND, Clock
+from cactusvane.configuration.follow import Follower
+from cactusvane.configuration.model import Configuration
+from cactusvane.entry import Entry
+from cactusvane.errors import InputError, PlatformError, SettingsError
+from cactusvane.events import Event
+from cactusvane.http.check import bad_request
+from cactusvane.http.message import Answer, Request
+from cactusvane.http.server import Caller, Server
+from cactusvane.metrics import Recorder
+from cactusvane.platform.client import HttpPlatform
+from cactusvane.settings import Settings
+
+TICK_MS = 100
+"""How often time passes in the pools."""
+
+DRAIN_MS = 30_000
+"""How long a stopping daemon waits for what is in flight."""
+
+NOT_READY_MS = 200
+"""How long a stopping daemon still takes connections, so that the balancer sees it leave."""
+
+USAGE_ERROR = 2
+GC_THRESHOLD = 50_000
+"""Allocations between garbage collections; requests leave few cycles behind."""
+
+
+@dataclass(frozen=True, slots=True)
+class TargetStatus:
+    """A target as this VM sees it."""
+
+    address: str
+    failure_domain: str
+    in_flight: int
+
+
+@dataclass(frozen=True, slots=True)
+class Status:
+    """What ``/status`` of the admin port shows."""
+
+    vm: str
+    failure_domain: str
+    ready: bool
+    draining: bool
+    version: int
+    connections: int
+    services: dict[str, tuple[TargetStatus, ...]]
+
+
+def read_settings(path: Path) -> Settings:
+    """Read a daemon's settings.
+
+    Raises
+    ------
+    SettingsError
+        The file cannot be read, or does not hold settings.
+    """
+    try:
+        data = path.read_bytes()
+        check = msgspec.json.decode(data)
+        settings = msgspec.convert(check, Settings)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except msgspec.DecodeError as error:
+        raise SettingsError(f"{path}: {error}") from error
+    unknown = unknown_fields(check, msgspec.to_builtins(settings))
+    if unknown:
+        raise SettingsError(f"{path}: unknown field: {unknown}; remove or rename it")
+    return settings
+
+
+def unknown_fields(given: object, known: object, path: str = "") -> str:
+    """Return the path of a member of `given` that `known` does not have, or an empty text.
+
+    Examples
+    --------
+    >>> unknown_fields({"http": {"idle": 1}}, {"http": {"idle_ms": 1}})
+    'http.idle'
+    """
+    if not isinstance(given, dict) or not isinstance(known, dict):
+        return ""
+    for name, value in given.items():
+        if name not in known:
+            return f"{path}{name}"
+        if found := unknown_fields(value, known[name], f"{path}{name}."):
+            return found
+    return ""
+
+
+class Daemon:
+    """One VM's process.
+
+    Parameters
+    ----------
+    settings
+        From the settings file.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.clock = Clock()
+        self.recorder = Recorder()
+        self.entry = Entry(settings, self.clock, Random(settings.seed), self.recorder)
+        self.platform = HttpPlatform(settings.platform)
+        self.follower = Follower(settings, self.platform, self.clock)
+        self.follower.on_change.append(self.change_configuration)
+        self.server = Server(settings.http, self.entry.handle)
+        self.admin = Server(settings.http, self.answer_admin)
+        self.stopping = asyncio.Event()
+        self.listed = False
+        self.was_ready = False
+        self.tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should be sent here."""
+        serves = self.version > 0 and self.listed and not self.entry.reaches_nothing
+        return serves and not self.stopping.is_set()
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 for none."""
+        return self.follower.head.version if self.follower.head else 0
+
+    async def run(self) -> None:
+        """Serve until told to stop."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stopping.set)
+        address = await self.server.start(self.settings.listen)
+        await self.admin.start(self.settings.admin)
+        events.write(Event.DAEMON_STARTED, vm=self.settings.vm, address=address)
+        self.start_tasks()
+        await self.stopping.wait()
+        await self.stop()
+
+    def start_tasks(self) -> None:
+        """Start what runs beside the callers' requests."""
+        loop = asyncio.get_running_loop()
+        for work in (
+            self.follower.run(),
+            self.repeat(self.settings.vm_list_ms, self.list_vms),
+            self.repeat(TICK_MS, self.tick),
+        ):
+            self.tasks.append(loop.create_task(work))
+
+    async def repeat(self, period_ms: float, work: Callable[[], Awaitable[None]]) -> None:
+        """Do `work` again and again; an error in one round is logged and ends that round."""
+        while True:
+            try:
+                await work()
+            except Exception as error:
+                events.write(Event.DAEMON_TASK_FAILED, error=repr(error))
+            await asyncio.sleep(period_ms / MS_PER_SECOND)
+
+    async def list_vms(self) -> None:
+        """Take the platform's VM list; the last one serves while there is none."""
+        with contextlib.suppress(PlatformError):
+            self.entry.list_vms(await self.platform.list_vms())
+            self.listed = True
+            self.note_ready()
+
+    async def tick(self) -> None:
+        """Let time pass."""
+        self.entry.tick()
+
+    def change_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force."""
+        self.entry.configure(configuration)
+        self.note_ready()
+
+    def note_ready(self) -> None:
+        """Log the moment in which the daemon becomes ready."""
+        if self.ready and not self.was_ready:
+            self.was_ready = True
+            events.write(Event.DAEMON_READY, vm=self.settings.vm, version=self.version)
+
+    async def stop(self) -> None:
+        """Finish what is in flight and close."""
+        events.write(Event.DAEMON_DRAINING, vm=self.settings.vm)
+        await asyncio.sleep(NOT_READY_MS / MS_PER_SECOND)
+        await self.server.drain(DRAIN_MS)
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.entry.connections.close()
+        await self.admin.drain(0)
+        events.write(Event.DAEMON_STOPPED, vm=self.settings.vm)
+
+    async def answer_admin(self, request: Request, caller: Caller) -> Answer:
+        """Answer on the admin port."""
+        match request.method, request.path:
+            case "GET", "/ready":
+                return Answer(200, (), b"ready") if self.ready else Answer(503, (), b"not ready")
+            case "GET", "/status":
+                headers = [(b"content-type", b"application/json")]
+                return Answer(200, headers, msgspec.json.encode(self.status()))
+            case "GET", "/metrics":
+                headers = [(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")]
+                return Answer(200, headers, self.recorder.text())
+            case _:
+                raise bad_request("no-route", "there are /ready, /status and /metrics", 404)
+
+    def status(self) -> Status:
+        """Return what this VM knows."""
+        services = {}
+        for name, state in self.entry.services.items():
+            pool = state.pool
+            services[name] = tuple(
+                TargetStatus(str(address), target.vm.failure_domain, target.in_flight)
+                for address, target in sorted(pool.targets.items())
+            )
+        return Status(
+            vm=self.settings.vm,
+            failure_domain=self.settings.failure_domain,
+            ready=self.ready,
+            draining=self.stopping.is_set(),
+            version=self.version,
+            connections=len(self.server.connections),
+            services=services,
+        )
+
+
+async def serve(settings: Settings) -> None:
+    """Run a daemon with these settings until it is told to stop."""
+    await Daemon(settings).run()
+
+
+def main() -> None:
+    """Read the arguments and serve."""
+    parser = argparse.ArgumentParser(prog="cactusvaned", description="One VM of the proxy fleet.")
+    parser.add_argument("settings", type=Path, help="the daemon's settings, a JSON file")
+    options = parser.parse_args()
+    try:
+        settings = read_settings(options.settings)
+    except InputError as error:
+        print(f"cactusvaned: {error}", file=sys.stderr)
+        sys.exit(USAGE_ERROR)
+    events.configure()
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
+    asyncio.run(serve(settings))
+
+
+if __name__ == "__main__":
+    main()
--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -38,8 +38,13 @@
     DAEMON_READY = EventKind(1002, logging.INFO, "{vm} is ready with configuration {version}")
     DAEMON_DRAINING = EventKind(1003, logging.INFO, "{vm} takes no new connections")
     DAEMON_STOPPED = EventKind(1004, logging.INFO, "{vm} stopped")
+    DAEMON_TASK_FAILED = EventKind(1005, logging.ERROR, "background work failed: {error}")
     HTTP_HANDLER_FAILED = EventKind(1101, logging.ERROR, "a request met an internal error: {error}")
     HTTP_SEND_FAILED = EventKind(1102, logging.ERROR, "an answer could not be sent: {error}")
+    TARGET_EJECTED = EventKind(1201, logging.WARNING, "{service}: {target} is out: {reason}")
+    TARGET_RETURNED = EventKind(1202, logging.INFO, "{service}: {target} is back")
+    OWN_PATH_SUSPECTED = EventKind(1203, logging.WARNING, "{service}: this VM's path looks broken")
+    OWN_PATH_CLEARED = EventKind(1204, logging.INFO, "{service}: this VM's path is well again")
 
     CONFIGURATION_ADOPTED = EventKind(1601, logging.INFO, "version {version} is in force")
     CONFIGURATION_REJECTED = EventKind(
--- a/cactusvane/http/client.py
+++ b/cactusvane/http/client.py
@@ -68,7 +68,7 @@
             self.connection.resume()
         return part
 
-    def abandon(self) -> None:
+    async def aclose(self) -> None:
         """Close the connection unless the whole answer has been received."""
         if not self.ended:
             self.connection.close()
--- a/cactusvane/http/message.py
+++ b/cactusvane/http/message.py
@@ -1,7 +1,8 @@
 """Requests and answers as the rest of cactusvane sees them."""
 
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Protocol
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -56,6 +57,17 @@
         return find_header(self.headers, name)
 
 
+class BodyStream(Protocol):
+    """The rest of a body, part by part; `aclose` gives up what was not taken."""
+
+    def __aiter__(self) -> "BodyStream": ...
+
+    async def __anext__(self) -> bytes: ...
+
+    async def aclose(self) -> None:
+        """Give up what was not taken."""
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """An answer.
@@ -77,7 +89,7 @@
     status: int
     headers: Headers = ()
     body: bytes = b""
-    rest: AsyncIterator[bytes] | None = None
+    rest: BodyStream | None = None
     length: int | None = None
 
     def header(self, name: bytes) -> bytes | None:
--- a/cactusvane/http/server.py
+++ b/cactusvane/http/server.py
@@ -14,7 +14,7 @@
 from cactusvane.events import Event
 from cactusvane.fleet.vm import Address
 from cactusvane.http.check import bad_request, check_head
-from cactusvane.http.message import Answer, Request
+from cactusvane.http.message import Answer, BodyStream, Request
 from cactusvane.settings import HttpLimits
 from cactusvane.verdict import Verdict
 
@@ -276,6 +276,8 @@
             answer = await self.answer(request)
             if not self.closing:
                 await self.send(answer)
+            elif answer.rest is not None:
+                await answer.rest.aclose()
         except (BrokenAnswerError, asyncio.CancelledError):
             self.reset()
         except Exception as error:
@@ -300,13 +302,22 @@
         """Write an answer at the caller's speed."""
         self.transport.write(self.encode_head(answer))
         if answer.rest is not None:
-            async for part in answer.rest:
+            await self.send_rest(answer.rest)
+            if self.closing:
+                return
+        self.transport.write(self.parser.send(h11.EndOfMessage()) or b"")
+        await self.wait_writable()
+
+    async def send_rest(self, rest: BodyStream) -> None:
+        """Write the rest of a large answer as the caller takes it."""
+        try:
+            async for part in rest:
                 self.transport.write(self.encode_data(part))
                 await self.wait_writable()
                 if self.closing:
                     return
-        self.transport.write(self.parser.send(h11.EndOfMessage()) or b"")
-        await self.wait_writable()
+        finally:
+            await rest.aclose()
 
     def encode_head(self, answer: Answer) -> bytes:
         """Return the head and what is held of the body as bytes."""
--- /dev/null
+++ b/cactusvane/http/stream.py
@@ -0,0 +1,53 @@
+"""The rest of a large answer on its way through an entry."""
+
+import asyncio
+from collections.abc import Callable
+
+from cactusvane.clock import MS_PER_SECOND
+from cactusvane.errors import BrokenAnswerError
+from cactusvane.http.message import BodyStream
+from cactusvane.pool.messages import Outcome
+
+
+class RelayedStream:
+    """Passes on a stream, bounds the wait for each part, and tells once how it ended.
+
+    Parameters
+    ----------
+    rest
+        What the target still sends.
+    part_ms
+        Time for each part.
+    ended
+        Called with the outcome, once.
+    """
+
+    def __init__(self, rest: BodyStream, part_ms: float, ended: Callable[[Outcome], None]) -> None:
+        self.rest = rest
+        self.part_ms = part_ms
+        self.ended: Callable[[Outcome], None] | None = ended
+
+    def __aiter__(self) -> "RelayedStream":
+        return self
+
+    async def __anext__(self) -> bytes:
+        try:
+            async with asyncio.timeout(self.part_ms / MS_PER_SECOND):
+                return await anext(self.rest)
+        except StopAsyncIteration:
+            self.end(Outcome.SERVED)
+            raise
+        except (TimeoutError, BrokenAnswerError) as error:
+            self.end(Outcome.BROKEN)
+            raise BrokenAnswerError(str(error) or "the answer stalled") from error
+
+    async def aclose(self) -> None:
+        """Give up what was not taken."""
+        self.end(Outcome.CANCELLED)
+        await self.rest.aclose()
+
+    def end(self, outcome: Outcome) -> None:
+        """Tell the outcome unless it was told."""
+        ended, self.ended = self.ended, None
+        if ended:
+            ended(outcome)
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -1,7 +1,7 @@
 """The server door: strictness, framing and limits."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 
 import pytest
 from hypothesis import given, settings
@@ -94,7 +94,7 @@
 
 @pytest.mark.parametrize("version", [b"1.0", b"1.1"])
 def test_answer_that_breaks_off_ends_in_a_reset(version: bytes) -> None:
-    async def rest() -> AsyncIterator[bytes]:
+    async def rest() -> AsyncGenerator[bytes, None]:
         yield b"more"
         raise BrokenAnswerError("gone")
 
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,178 @@
+"""The entry with scripted targets on loopback."""
+
+import asyncio
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cactusvane.clock import Clock
+from cactusvane.configuration.model import Configuration, Route, Service
+from cactusvane.entry import Entry
+from cactusvane.errors import BrokenAnswerError
+from cactusvane.fleet.vm import Address, Vm
+from cactusvane.http.client import fetch
+from cactusvane.http.message import Answer
+from cactusvane.http.server import Server
+from cactusvane.metrics import Recorder
+from cactusvane.settings import HttpLimits, Settings
+from cactusvane.verdict import Verdict
+
+ANY = Address("127.0.0.1", 0)
+LIMITS = HttpLimits(buffer_bytes=2_000, body_bytes=1_000_000, body_ms=500)
+SETTINGS = Settings("e1", "Gobabis", ANY, ANY, ANY, ANY, http=LIMITS)
+ROUTES = (
+    Route("/read", ("GET",), True, "read", deadline_ms=400),
+    Route("/book", ("POST",), False, "booking", deadline_ms=400),
+)
+SERVICE = Service("records", ("a",), ROUTES, targets=2, floor=1, slots=4)
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi"
+SHED = b"HTTP/1.1 503 Full\r\ncactusvane-shed: 1\r\ncontent-length: 0\r\n\r\n"
+DRAINING = b"HTTP/1.1 503 Bye\r\ncactusvane-draining: 1\r\ncontent-length: 0\r\n\r\n"
+FAILED = b"HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n"
+CUT = b"HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\nhi"
+LARGE_CUT = b"HTTP/1.1 200 OK\r\ncontent-length: 9000\r\n\r\n" + b"x" * 5_000
+HANG = b"hang"
+
+
+class ScriptedTargets:
+    """Two targets that share one script of replies and count the requests they got."""
+
+    def __init__(self, replies: list[bytes]) -> None:
+        self.replies = replies
+        self.received: list[bytes] = []
+        self.gone = asyncio.Event()
+        self.servers: list[asyncio.Server] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            self.received.append(await reader.readuntil(b"\r\n\r\n"))
+        except asyncio.IncompleteReadError:
+            return writer.close()
+        reply = self.replies.pop(0) if self.replies else OK
+        if reply == HANG:
+            await reader.read()
+            self.gone.set()
+        else:
+            writer.write(reply)
+        return writer.close()
+
+    async def start(self) -> tuple[Vm, ...]:
+        vms = []
+        for number in range(2):
+            server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+            self.servers.append(server)
+            address = Address(*server.sockets[0].getsockname())
+            vms.append(Vm(f"t{number}", address, "Gobabis", service="records"))
+        return tuple(vms)
+
+
+async def started(replies: list[bytes]) -> tuple[Entry, Server, Address, ScriptedTargets]:
+    targets = ScriptedTargets(replies)
+    entry = Entry(SETTINGS, Clock(), Random(1), Recorder())
+    entry.list_vms(await targets.start())
+    entry.configure(Configuration((SERVICE,)))
+    server = Server(LIMITS, entry.handle)
+    return entry, server, await server.start(ANY), targets
+
+
+async def ask(method: str, path: str, replies: list[bytes]) -> tuple[Answer, list[bytes]]:
+    entry, server, address, targets = await started(replies)
+    try:
+        return (
+            await fetch(address, method, path, [(b"host", b"a")], b"", 5_000, LIMITS),
+            targets.received,
+        )
+    finally:
+        await server.drain(1_000)
+        entry.connections.close()
+        for each in targets.servers:
+            each.close()
+
+
+def asked(method: str, path: str, *replies: bytes) -> tuple[Answer, list[bytes]]:
+    return asyncio.run(ask(method, path, list(replies)))
+
+
+def test_whole_answer_and_headers() -> None:
+    answer, received = asked("GET", "/read/1")
+    assert (answer.status, answer.body) == (200, b"hi")
+    assert answer.header(b"cactusvane-verdict") == b"ran"
+    left = received[0].split(b"cactusvane-deadline-ms: ")[1].split(b"\r\n")[0]
+    assert 0 < int(left) <= 400
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "replies", "status", "verdict", "attempts"),
+    [
+        ("GET", "/read", [CUT], 200, Verdict.RAN, 2),
+        ("GET", "/read", [FAILED], 200, Verdict.RAN, 2),
+        ("GET", "/read", [FAILED, CUT], 500, Verdict.RAN, 2),
+        ("GET", "/read", [b"garbage"], 200, Verdict.RAN, 2),
+        ("GET", "/read", [HANG], 200, Verdict.RAN, 2),
+        ("GET", "/read", [SHED, SHED], 503, Verdict.NOT_RUN, 2),
+        ("GET", "/read", [CUT, SHED], 502, Verdict.MAY_HAVE_RUN, 2),
+        ("POST", "/book", [SHED], 200, Verdict.RAN, 2),
+        ("POST", "/book", [DRAINING], 200, Verdict.RAN, 2),
+        ("POST", "/book", [DRAINING, SHED], 503, Verdict.NOT_RUN, 2),
+        ("POST", "/book", [CUT], 502, Verdict.MAY_HAVE_RUN, 1),
+        ("POST", "/book", [b""], 502, Verdict.MAY_HAVE_RUN, 1),
+        ("POST", "/book", [HANG], 504, Verdict.MAY_HAVE_RUN, 1),
+        ("POST", "/book", [FAILED], 500, Verdict.RAN, 1),
+        ("GET", "/elsewhere", [], 404, Verdict.NOT_RUN, 0),
+        ("DELETE", "/read", [], 404, Verdict.NOT_RUN, 0),
+    ],
+)
+def test_verdicts(
+    method: str, path: str, replies: list[bytes], status: int, verdict: Verdict, attempts: int
+) -> None:
+    answer, received = asked(method, path, *replies)
+    assert answer.status == status
+    assert answer.header(b"cactusvane-verdict") == verdict.value.encode()
+    assert len(received) == attempts
+
+
+def test_large_answer_that_breaks_off_breaks_the_callers() -> None:
+    with pytest.raises(BrokenAnswerError):
+        asked("GET", "/read", LARGE_CUT)
+
+
+@pytest.mark.parametrize(("path", "cancelled"), [("/read", True), ("/book", False)])
+def test_caller_gone(path: str, cancelled: bool) -> None:
+    async def run() -> tuple[bool, int]:
+        entry, server, address, targets = await started([HANG])
+        _, writer = await asyncio.open_connection(address.host, address.port)
+        method = b"GET" if cancelled else b"POST"
+        writer.write(method + b" %b HTTP/1.1\r\nhost: a\r\n\r\n" % path.encode())
+        while not targets.received:
+            await asyncio.sleep(0.005)
+        writer.close()
+        await asyncio.sleep(0.1)
+        early = targets.gone.is_set()
+        await asyncio.wait_for(targets.gone.wait(), 5)
+        await server.drain(1_000)
+        pool = entry.services["records"].pool
+        return early, sum(target.in_flight for target in pool.targets.values())
+
+    early, in_flight = asyncio.run(run())
+    assert early == cancelled
+    assert in_flight == 0
+
+
+REPLIES = st.one_of(
+    st.sampled_from([OK, SHED, DRAINING, FAILED, CUT, b"", OK + OK, OK + b"x"]),
+    st.binary(max_size=60),
+    st.builds(lambda junk: b"HTTP/1.1 200 OK\r\n" + junk, st.binary(max_size=40)),
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(st.sampled_from([("GET", "/read"), ("POST", "/book")]), st.lists(REPLIES, max_size=3))
+def test_no_target_breaks_the_entry(call: tuple[str, str], replies: list[bytes]) -> None:
+    answer, received = asked(*call, *replies)
+    assert b"Traceback" not in answer.body
+    assert answer.header(b"cactusvane-verdict") in {b"ran", b"not-run", b"may-have-run"}
+    if call[0] == "POST":
+        said_no = sum(reply in (SHED, DRAINING) for reply in replies)
+        assert len(received) <= said_no + 1
