Add the command line: check, publish, show and status

Operators steer by files alone, so a publish notes beside the files what its author last saw; a copy of a directory carries that along, and stale files of others' services change nothing. Errors are caught once and told by a message and a fixed exit code.

--- a/cactusvane/configuration/publish.py
+++ b/cactusvane/configuration/publish.py
@@ -36,10 +36,13 @@
         The head that accepted it, or that held the same content already.
     changed
         Names of services that it changed.
+    configuration
+        What `head` holds.
     """
 
     head: Head
     changed: tuple[str, ...]
+    configuration: Configuration
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,18 +89,18 @@
     """
     accepted = await read_accepted(platform, publish_id)
     if accepted:
-        return Published(accepted, ())
+        return Published(accepted, (), decode(await platform.get_object(accepted.digest)))
     while True:
         base = await read_base(platform)
         merged = merge(base.configuration, change)
         changed = find_changed(base.configuration, merged)
         if not changed and base.head.version:
-            return Published(base.head, ())
+            return Published(base.head, (), merged)
         data = encode(merged)
         head = Head(base.head.version + 1, digest(data), publish_id)
         await store(platform, head, data, pause)
         if await accept(platform, base, head, pause):
-            return Published(head, changed)
+            return Published(head, changed, merged)
 
 
 async def read_accepted(platform: Platform, publish_id: str) -> Head | None:
--- /dev/null
+++ b/cactusvane/ui/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line with ``python -m cactusvane.ui``."""
+
+from cactusvane.ui import main
+
+main()
--- /dev/null
+++ b/cactusvane/ui/commands/publish.py
@@ -0,0 +1,111 @@
+"""The command that publishes operators' files."""
+
+import asyncio
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+from uuid import uuid4
+
+import typer
+
+from cactusvane.configuration.check import check_together, collect, read_files
+from cactusvane.configuration.merge import Change
+from cactusvane.configuration.publish import Published, publish
+from cactusvane.errors import InputError, PlatformError
+from cactusvane.fleet.vm import Address
+from cactusvane.platform.client import HttpPlatform
+from cactusvane.platform.interface import Platform
+from cactusvane.ui.base import read_base, write_base
+from cactusvane.ui.codes import ExitCode
+from cactusvane.ui.fleet import ask_all, entry_vms
+from cactusvane.ui.options import DEFAULT_PLATFORM, JsonOption, PlatformOption
+from cactusvane.ui.output import leave, print_result
+
+WAIT_SECONDS = 30.0
+POLL_SECONDS = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What became of a publish; `vms` and `in_force` are counted only when waiting."""
+
+    version: int
+    digest: str
+    publish_id: str
+    changed: tuple[str, ...]
+    in_force: int = 0
+    vms: int = 0
+
+
+def publish_files(
+    directory: Annotated[Path, typer.Argument(metavar="DIR", help="Directory of the files.")],
+    wait: Annotated[bool, typer.Option("--wait", help="Wait until every VM has it.")] = False,
+    wait_seconds: Annotated[float, typer.Option(help="How long to wait.")] = WAIT_SECONDS,
+    remove: Annotated[
+        list[str] | None, typer.Option(metavar="NAME", help="Take out this service.")
+    ] = None,
+    publish_id: Annotated[
+        str | None, typer.Option("--id", help="Settle or repeat the publish with this id.")
+    ] = None,
+    overwrite: Annotated[
+        bool, typer.Option("--overwrite", help="Replace what others published meanwhile.")
+    ] = False,
+    platform: PlatformOption = DEFAULT_PLATFORM,  # type: ignore[assignment]
+    as_json: JsonOption = False,
+) -> None:
+    """Check all files below DIR and put them in force together.
+
+    Services that DIR does not hold stay as they are. Changes that others publish to other
+    services at the same time are kept; a change to the same service is a conflict.
+    """
+    files = read_files(collect(directory))
+    if not files and not remove:
+        raise InputError(f"{directory}: there is no operators' file (*.json) in it")
+    configuration = check_together(files)
+    change = Change(configuration.services, tuple(remove or ()), read_base(directory), overwrite)
+    waited = wait_seconds if wait else 0.0
+    result = asyncio.run(run(platform, directory, change, publish_id or uuid4().hex, waited))
+    print_result(result, describe(result), as_json)
+    everywhere = 0 < result.vms == result.in_force
+    leave(ExitCode.OK if everywhere or not wait else ExitCode.NOT_EVERYWHERE)
+
+
+async def run(
+    address: Address, directory: Path, change: Change, publish_id: str, wait_seconds: float
+) -> Result:
+    """Publish, note the base, and wait where that was asked for."""
+    platform = HttpPlatform(address)
+    published = await publish(platform, change, publish_id)
+    write_base(directory, change, published.configuration)
+    in_force, vms = await wait_in_force(platform, published, wait_seconds)
+    head = published.head
+    return Result(head.version, head.digest, head.publish_id, published.changed, in_force, vms)
+
+
+async def wait_in_force(
+    platform: Platform, published: Published, wait_seconds: float
+) -> tuple[int, int]:
+    """Return on how many VMs the version is in force, and how many there are."""
+    end = time.monotonic() + wait_seconds
+    in_force, vms = 0, 0
+    while time.monotonic() < end:
+        try:
+            reports = await ask_all(entry_vms(await platform.list_vms()))
+        except PlatformError:
+            reports = ()
+        vms = len(reports) or vms
+        in_force = sum(report.follows(published.head.version) for report in reports)
+        if reports and in_force == vms:
+            break
+        await asyncio.sleep(POLL_SECONDS)
+    return in_force, vms
+
+
+def describe(result: Result) -> str:
+    """Return the result for a person."""
+    changed = ", ".join(result.changed) or "nothing"
+    text = f"version {result.version} is accepted; changed: {changed}"
+    if result.vms:
+        text += f"; in force on {result.in_force} of {result.vms} VMs"
+    return text
--- /dev/null
+++ b/cactusvane/ui/commands/status.py
@@ -0,0 +1,62 @@
+"""The command that says how the fleet is."""
+
+import asyncio
+from dataclasses import dataclass
+
+from cactusvane.configuration.publish import read_head
+from cactusvane.fleet.vm import Address
+from cactusvane.platform.client import HttpPlatform
+from cactusvane.ui.codes import ExitCode
+from cactusvane.ui.fleet import VmReport, ask_all, entry_vms
+from cactusvane.ui.options import DEFAULT_PLATFORM, JsonOption, PlatformOption
+from cactusvane.ui.output import leave, print_result, table
+
+
+@dataclass(frozen=True, slots=True)
+class VmRow:
+    """One VM as it answers operators."""
+
+    vm: str
+    failure_domain: str
+    state: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class FleetStatus:
+    """All VMs, and the version that should be in force."""
+
+    version: int
+    vms: tuple[VmRow, ...]
+    all_ready: bool
+
+
+def status(
+    platform: PlatformOption = DEFAULT_PLATFORM,  # type: ignore[assignment]
+    as_json: JsonOption = False,
+) -> None:
+    """Say whether every VM is ready with the version in force; exit code 7 if not."""
+    fleet = asyncio.run(read_status(platform))
+    rows = [(row.vm, row.failure_domain, row.state, row.version) for row in fleet.vms]
+    text = table(["vm", "failure domain", "state", "version"], rows)
+    print_result(fleet, f"version {fleet.version} is published\n{text}", as_json)
+    leave(ExitCode.OK if fleet.all_ready else ExitCode.NOT_EVERYWHERE)
+
+
+async def read_status(address: Address) -> FleetStatus:
+    """Read the head and ask all VMs."""
+    platform = HttpPlatform(address)
+    head = await read_head(platform)
+    version = head.version if head else 0
+    reports = await ask_all(entry_vms(await platform.list_vms()))
+    ready = bool(reports) and all(report.follows(version) for report in reports)
+    return FleetStatus(version, tuple(to_row(report) for report in reports), ready)
+
+
+def to_row(report: VmReport) -> VmRow:
+    """Return the row of one VM."""
+    vm, answer = report.vm, report.status
+    if answer is None:
+        return VmRow(vm.name, vm.failure_domain, "no answer", 0)
+    state = "ready" if answer.ready else "not ready"
+    return VmRow(vm.name, vm.failure_domain, state, answer.version)
--- /dev/null
+++ b/cactusvane/ui/fleet.py
@@ -0,0 +1,72 @@
+"""What the VMs of the fleet say of themselves."""
+
+import asyncio
+from dataclasses import dataclass
+
+import msgspec
+
+from cactusvane.errors import ExchangeError
+from cactusvane.fleet.vm import Address, Vm, VmState
+from cactusvane.http.client import fetch
+from cactusvane.settings import HttpLimits
+
+TIMEOUT_MS = 2_000.0
+AT_ONCE = 64
+OK = 200
+LIMITS = HttpLimits(body_bytes=64 * 1_048_576)
+
+
+@dataclass(frozen=True, slots=True)
+class TargetStatus:
+    """A target as one VM sees it."""
+
+    address: str
+    in_flight: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Status:
+    """What a VM's ``/status`` shows, as far as the command line uses it."""
+
+    vm: str
+    ready: bool
+    version: int
+    draining: bool = False
+    services: dict[str, tuple[TargetStatus, ...]] = msgspec.field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class VmReport:
+    """One VM of the list with its own word; `status` is None where it did not answer."""
+
+    vm: Vm
+    status: Status | None
+
+    def follows(self, version: int) -> bool:
+        """Say whether the VM is ready with `version` or a higher one."""
+        return self.status is not None and self.status.ready and self.status.version >= version
+
+
+def entry_vms(vms: tuple[Vm, ...]) -> tuple[Vm, ...]:
+    """Return the live VMs of the fleet itself, without targets."""
+    return tuple(vm for vm in vms if not vm.service and vm.state is VmState.LIVE)
+
+
+async def ask_all(vms: tuple[Vm, ...]) -> tuple[VmReport, ...]:
+    """Ask every VM for its status, a bounded number at once."""
+    limit = asyncio.Semaphore(AT_ONCE)
+
+    async def ask(vm: Vm) -> VmReport:
+        async with limit:
+            return VmReport(vm, await ask_status(vm.admin) if vm.admin else None)
+
+    return tuple(await asyncio.gather(*(ask(vm) for vm in vms)))
+
+
+async def ask_status(address: Address) -> Status | None:
+    """Return what the VM at `address` says of itself, or None where it does not answer."""
+    try:
+        answer = await fetch(address, "GET", "/status", (), b"", TIMEOUT_MS, LIMITS)
+        return msgspec.json.decode(answer.body, type=Status) if answer.status == OK else None
+    except (ExchangeError, msgspec.DecodeError):
+        return None
--- /dev/null
+++ b/cactusvane/ui/output.py
@@ -0,0 +1,38 @@
+"""What commands print."""
+
+from collections.abc import Sequence
+
+import msgspec
+import typer
+
+from cactusvane.ui.codes import ExitCode
+
+GAP = "  "
+
+
+def print_result(value: object, text: str, as_json: bool) -> None:
+    """Print `value` as one JSON object, or `text` for a person."""
+    typer.echo(msgspec.json.encode(value).decode() if as_json else text)
+
+
+def leave(code: ExitCode) -> None:
+    """End the command with `code` unless all is well."""
+    if code is not ExitCode.OK:
+        raise typer.Exit(code)
+
+
+def table(head: Sequence[str], rows: Sequence[Sequence[object]]) -> str:
+    """Return rows as text in columns.
+
+    Examples
+    --------
+    >>> print(table(["vm", "version"], [["gobabis-1", 3]]))
+    vm         version
+    gobabis-1  3
+    """
+    lines = [[str(cell) for cell in row] for row in (head, *rows)]
+    widths = [max(len(line[column]) for line in lines) for column in range(len(head))]
+    return "\n".join(
+        GAP.join(cell.ljust(width) for cell, width in zip(line, widths, strict=True)).rstrip()
+        for line in lines
+    )
