--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,81 @@
+"""Rules to compare the product's with: no ejection, and consecutive errors per entry."""
+
+from random import Random
+
+from cactusvane.configuration.model import Service
+from cactusvane.fleet.vm import Address
+from cactusvane.pool.messages import (
+    AttemptEnded,
+    Ejected,
+    Outcome,
+    PoolCommand,
+    PoolEvent,
+    Ticked,
+)
+from cactusvane.pool.pool import FAILED, Pool
+from cactusvane.pool.settings import PoolSettings
+
+CONSECUTIVE_ERRORS = 5
+EJECTION_MS = 30_000.0
+
+
+class NoEjection(Pool):
+    """Chooses by load alone."""
+
+    def handle(self, event: PoolEvent, now: float) -> tuple[PoolCommand, ...]:
+        """Count requests in flight and learn nothing."""
+        if isinstance(event, AttemptEnded):
+            state = self.targets.get(event.target)
+            if state is not None:
+                state.end(now - event.latency_ms)
+            return ()
+        return () if isinstance(event, Ticked) else super().handle(event, now)
+
+
+class ConsecutiveErrors(NoEjection):
+    """Ejects after errors in a row, for a fixed time, within the same floor."""
+
+    def __init__(
+        self,
+        service: Service,
+        failure_domain: str,
+        random: Random,
+        settings: PoolSettings | None = None,
+    ) -> None:
+        super().__init__(service, failure_domain, random, settings)
+        self.in_a_row: dict[Address, int] = {}
+        self.until: dict[Address, float] = {}
+
+    def handle(self, event: PoolEvent, now: float) -> tuple[PoolCommand, ...]:
+        """Count errors in a row."""
+        commands = super().handle(event, now)
+        match event:
+            case AttemptEnded(target, outcome, _):
+                return self.count_errors(target, outcome, now)
+            case Ticked():
+                for target in [t for t, until in self.until.items() if now >= until]:
+                    del self.until[target]
+                    self.set_out()
+        return commands
+
+    def count_errors(
+        self, target: Address, outcome: Outcome, now: float
+    ) -> tuple[PoolCommand, ...]:
+        """Eject after the last error in a row, if the floor allows."""
+        if outcome not in FAILED:
+            self.in_a_row[target] = 0
+            return ()
+        self.in_a_row[target] = self.in_a_row.get(target, 0) + 1
+        spare = len(self.targets) - self.service.floor
+        if self.in_a_row[target] < CONSECUTIVE_ERRORS or len(self.until) >= spare:
+            return ()
+        self.in_a_row[target] = 0
+        self.until[target] = now + EJECTION_MS
+        self.set_out()
+        return (Ejected(target, "errors in a row"),)
+
+    def set_out(self) -> None:
+        """Work out anew which targets are in use."""
+        self.out = frozenset(self.until)
+        states = self.targets.values()
+        self.in_use = tuple(state for state in states if state.vm.address not in self.out)
