Measure what a daemon adds; keep timers and spare connections off a request's way

Cause: each request replaced three timers and opened the next spare before its own answer. Timers move lazily now, and spares open 3 ms later.

--- /dev/null
+++ b/bench/added.py
@@ -0,0 +1,261 @@
+"""What one daemon adds to a request's latency: ``make bench-added``.
+
+One platform stand-in, one target stand-in and one daemon, each a process. Requests arrive at
+random (Poisson) and go in turn straight to the target and through the daemon, so that both see
+the same machine. The last line is one JSON object; ``added`` figures are differences of the
+quantiles of both ways.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+
+import msgspec
+
+from cactusvane.clock import MS_PER_SECOND
+from cactusvane.configuration.digest import digest, encode
+from cactusvane.configuration.model import Configuration, Head, Route, Service
+from cactusvane.configuration.publish import HEAD_KEY, TABLE
+from cactusvane.errors import ExchangeError, PlatformError
+from cactusvane.fleet.vm import Address, Vm
+from cactusvane.http.client import fetch
+from cactusvane.platform.client import HttpPlatform
+from cactusvane.platform.interface import ABSENT, Write
+from cactusvane.platform.messages import VmList
+from cactusvane.settings import HttpLimits, Settings
+
+HOST = "127.0.0.1"
+ROUTES = (
+    Route("/records", ("GET",), True, "record"),
+    Route("/booking", ("POST",), False, "booking"),
+)
+SERVICE = Service("records", ("records",), ROUTES, targets=1, floor=1, slots=200, warm_up_ms=0)
+SERVICE_MS = 0.01
+START_SECONDS = 20.0
+WARM_UP_REQUESTS = 200
+BODY = b"x" * 400
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+PERCENT = 100.0
+
+
+class Caller(asyncio.Protocol):
+    """A caller's connection that costs little, so that the measure is of the other side."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport
+        self.data = b""
+        self.answered: asyncio.Future[bytes] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Complete the answer once it is whole."""
+        self.data += data
+        head, found, body = self.data.partition(b"\r\n\r\n")
+        if not found:
+            return
+        length = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
+        if len(body) >= length and self.answered and not self.answered.done():
+            self.answered.set_result(self.data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail what was asked last."""
+        if self.answered and not self.answered.done():
+            self.answered.set_exception(ConnectionResetError())
+
+    async def ask(self, data: bytes) -> bytes:
+        """Send a request and return the whole answer."""
+        self.data = b""
+        self.answered = asyncio.get_running_loop().create_future()
+        self.transport.write(data)
+        return await self.answered
+
+
+class Way:
+    """One way to the target, with connections that are kept."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.idle: list[Caller] = []
+        self.latencies: list[float] = []
+        self.failed = 0
+
+    async def request(self, number: int) -> None:
+        """Do one request and note its latency in milliseconds."""
+        started = time.perf_counter()
+        try:
+            caller = self.idle.pop() if self.idle else await self.connect()
+            answer = await caller.ask(request_bytes(number))
+        except OSError:
+            self.failed += 1
+            return
+        self.latencies.append((time.perf_counter() - started) * MS_PER_SECOND)
+        self.failed += not answer.startswith(b"HTTP/1.1 200")
+        self.idle.append(caller)
+
+    async def connect(self) -> Caller:
+        """Open a connection."""
+        loop = asyncio.get_running_loop()
+        _, caller = await loop.create_connection(Caller, self.address.host, self.address.port)
+        return caller
+
+    def quantile(self, share: float) -> float:
+        """Return a quantile of the latencies in milliseconds."""
+        ordered = sorted(self.latencies)
+        return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def request_bytes(number: int) -> bytes:
+    """Return a request; every second one is a booking."""
+    head = b"GET /records/7" if number % 4 < 2 else b"POST /booking"
+    body = b"" if number % 4 < 2 else BODY
+    return b"%b HTTP/1.1\r\nhost: records\r\nrequest-id: %d\r\ncontent-length: %d\r\n\r\n%b" % (
+        head,
+        number,
+        len(body),
+        body,
+    )
+
+
+def free_address() -> Address:
+    """Return a loopback address that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return Address(HOST, probe.getsockname()[1])
+
+
+@contextmanager
+def process(*arguments: str) -> Iterator[subprocess.Popen[bytes]]:
+    """Run ``python -m arguments`` for the length of the block."""
+    child = subprocess.Popen([sys.executable, "-m", *arguments], stderr=subprocess.DEVNULL)
+    try:
+        yield child
+    finally:
+        child.terminate()
+        child.wait()
+
+
+async def until_status(address: Address, path: str) -> None:
+    """Wait until a process answers 200."""
+    limits = HttpLimits()
+    async with asyncio.timeout(START_SECONDS):
+        while True:
+            try:
+                answer = await fetch(address, "GET", path, (), b"", MS_PER_SECOND, limits)
+                if answer.status == 200:
+                    return
+            except ExchangeError:
+                pass
+            await asyncio.sleep(0.05)
+
+
+async def publish(platform: Address, target: Address) -> None:
+    """Put the service and its one target on the platform."""
+    client = HttpPlatform(platform)
+    data = encode(Configuration((SERVICE,)))
+    await client.put_object(digest(data), data)
+    head = msgspec.json.encode(Head(1, digest(data), "bench")).decode()
+    await client.commit((Write(TABLE, HEAD_KEY, head, ABSENT),))
+    vm = Vm("records-1", target, "Gobabis", service=SERVICE.name)
+    body = msgspec.json.encode(VmList((vm,)))
+    limits = HttpLimits()
+    answer = await fetch(platform, "POST", "/vms", (), body, MS_PER_SECOND, limits)
+    if answer.status != 200:
+        raise PlatformError(f"the VM list was not taken: {answer.status}")
+
+
+def cpu_ms(pid: int) -> float:
+    """Return the processor time of a process so far, in milliseconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND * MS_PER_SECOND
+
+
+async def load(ways: tuple[Way, Way], rate: float, requests: int, random: Random) -> None:
+    """Send `requests` on each way, `rate` a second on each."""
+    tasks = []
+    due = time.perf_counter()
+    for number in range(2 * requests):
+        due += random.expovariate(2 * rate)
+        await asyncio.sleep(max(0.0, due - time.perf_counter()))
+        tasks.append(asyncio.create_task(ways[number % 2].request(number)))
+    await asyncio.gather(*tasks)
+
+
+async def measure(
+    target: Address, entry: Address, daemon: int, options: argparse.Namespace
+) -> dict[str, float]:
+    """Warm up, measure, and return the last line's members."""
+    random = Random(options.seed)
+    await load((Way(target), Way(entry)), options.rate, WARM_UP_REQUESTS, random)
+    direct, through = Way(target), Way(entry)
+    before = cpu_ms(daemon)
+    await load((direct, through), options.rate, options.requests, random)
+    used = cpu_ms(daemon) - before
+    failed = direct.failed + through.failed
+    if failed:
+        raise SystemExit(f"{failed} requests failed")
+    for name, way in (("direct", direct), ("through", through)):
+        shares = " ".join(
+            f"p{s * PERCENT:g}={way.quantile(s):.3f}" for s in (0.5, 0.9, 0.99, 0.999)
+        )
+        print(f"{name:8} ms {shares}")
+    return {
+        "direct_p99_ms": round(direct.quantile(0.99), 3),
+        "through_p99_ms": round(through.quantile(0.99), 3),
+        "added_p50_ms": round(through.quantile(0.5) - direct.quantile(0.5), 3),
+        "added_p99_ms": round(through.quantile(0.99) - direct.quantile(0.99), 3),
+        "requests": options.requests,
+        "cpu_ms_per_request": round(used / options.requests, 3),
+    }
+
+
+async def run(options: argparse.Namespace, directory: Path) -> dict[str, float]:
+    """Start the processes, measure, and end them."""
+    platform, target, listen, peer, admin = (free_address() for _ in range(5))
+    settings = Settings("entry-1", "Gobabis", listen, peer, admin, platform)
+    path = directory / "settings.json"
+    path.write_bytes(msgspec.json.encode(settings))
+    arguments = ("--port", str(target.port), "--slots", "200", "--mean-ms", str(SERVICE_MS))
+    daemon: tuple[str, ...] = ("cactusvane.daemon", str(path))
+    if options.profile:
+        daemon = ("cProfile", "-o", options.profile, "-m", *daemon)
+    with (
+        process("standins.platform", "--port", str(platform.port)),
+        process("standins.target", *arguments),
+    ):
+        await until_status(platform, "/vms")
+        await until_status(target, "/health")
+        await publish(platform, target)
+        with process(*daemon) as child:
+            await until_status(admin, "/ready")
+            return await measure(target, listen, child.pid, options)
+
+
+def main() -> None:
+    """Read the arguments, run, and print the figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rate", type=float, default=200.0, help="requests a second, each way")
+    parser.add_argument("--requests", type=int, default=4_000, help="requests on each way")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--profile", default="", help="write a cProfile of the daemon here")
+    options = parser.parse_args()
+    with TemporaryDirectory() as directory:
+        figures = asyncio.run(run(options, Path(directory)))
+    print(json.dumps(figures))
+
+
+if __name__ == "__main__":
+    main()
--- a/cactusvane/http/connection.py
+++ b/cactusvane/http/connection.py
@@ -26,6 +26,9 @@
 CONNECT_MS = 1_000
 """Time for opening a connection."""
 
+REFILL_MS = 3
+"""Delay before spares are opened, so that they are not in the way of the request."""
+
 
 @dataclass(frozen=True, slots=True)
 class Spare:
@@ -47,6 +50,8 @@
         How many spares to hold.
     opening
         How many spares are being opened.
+    refilling
+        Whether spares are about to be opened.
     used
         When a connection was last taken, in milliseconds.
     """
@@ -54,6 +59,7 @@
     spares: deque[Spare] = field(default_factory=deque)
     wanted: int = 1
     opening: int = 0
+    refilling: bool = False
     used: float = 0.0
 
 
@@ -90,15 +96,17 @@
         ConnectError
             The target cannot be reached; nothing was sent.
         """
-        state = self.targets.setdefault(target, TargetState())
+        state = self.targets.get(target)
+        if state is None:
+            state = self.targets[target] = TargetState()
         now = self.clock.now()
         state.used = now
+        self.refill_soon(target, state)
         connection = self.pop(state, now - (VERIFIED_MS if verified else SPARE_MS))
-        if connection is None:
-            state.wanted = min(state.wanted + 1, MOST_SPARES)
-            connection = await self.open(target)
-        self.refill(target, state)
-        return connection
+        if connection:
+            return connection
+        state.wanted = min(state.wanted + 1, MOST_SPARES)
+        return await self.open(target)
 
     def pop(self, state: TargetState, oldest: float) -> ClientConnection | None:
         """Return the youngest spare if it was opened after `oldest` and is open."""
@@ -120,8 +128,18 @@
         except TimeoutError as error:
             raise ConnectError(f"{target}: no connection within {CONNECT_MS} ms") from error
 
+    def refill_soon(self, target: Address, state: TargetState) -> None:
+        """Open spares after `REFILL_MS`."""
+        if not state.refilling:
+            state.refilling = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(REFILL_MS / MS_PER_SECOND, self.refill, target, state)
+
     def refill(self, target: Address, state: TargetState) -> None:
         """Open spares in the background until there are as many as wanted."""
+        state.refilling = False
+        if self.targets.get(target) is not state:
+            return
         while len(state.spares) + state.opening < state.wanted:
             state.opening += 1
             task = asyncio.get_running_loop().create_task(self.open_spare(target, state))
--- a/cactusvane/http/server.py
+++ b/cactusvane/http/server.py
@@ -145,6 +145,8 @@
         self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.head_bytes)
         self.transport: asyncio.Transport
         self.timer: asyncio.TimerHandle | None = None
+        self.due = 0.0
+        self.action: Callable[[], None] | None = None
         self.task: asyncio.Task[None] | None = None
         self.caller = Caller()
         self.head: h11.Request | None = None
@@ -172,7 +174,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the handler that the caller is gone."""
         self.closing = True
-        self.set_timer(0, None)
+        self.stop_timer()
         self.writable.set()
         self.server.remove(self)
         self.caller.leave()
@@ -191,10 +193,33 @@
         self.writable.set()
 
     def set_timer(self, ms: float, action: Callable[[], None] | None) -> None:
-        """Replace the connection's one timer."""
+        """Replace the connection's one timer; a pending timer is moved only to an earlier time."""
+        self.due = self.loop.time() + ms / MS_PER_SECOND
+        self.action = action
+        if action is None:
+            return
+        if self.timer and self.timer.when() > self.due:
+            self.timer.cancel()
+            self.timer = None
+        if self.timer is None:
+            self.timer = self.loop.call_at(self.due, self.time_out)
+
+    def stop_timer(self) -> None:
+        """Cancel the timer for good."""
+        self.action = None
         if self.timer:
             self.timer.cancel()
-        self.timer = self.loop.call_later(ms / MS_PER_SECOND, action) if action else None
+            self.timer = None
+
+    def time_out(self) -> None:
+        """Do what the timer is for, or wait on if it was moved to a later time."""
+        self.timer = None
+        if self.action is None:
+            return
+        if self.due > self.loop.time():
+            self.timer = self.loop.call_at(self.due, self.time_out)
+        else:
+            self.action()
 
     def data_received(self, data: bytes) -> None:
         """Parse what the caller sent; while a request is answered, hold a bounded amount."""
@@ -404,7 +429,7 @@
     def close(self) -> None:
         """Close after what was written is sent."""
         self.closing = True
-        self.set_timer(0, None)
+        self.stop_timer()
         self.transport.close()
 
     def reset(self) -> None:
