Let callers move on before a stopping daemon closes; bound spare connections by the fleet's size

A stopping daemon closed idle connections 0.2 s after SIGTERM, in which time a caller could have sent its next request. It now answers for 2 s with "connection: close" first. Spares are held only where an entry's share of a target's connections leaves room beside its slots: 4 at 48 entries, none at 5,700. Tests: a late second answer never reaches the next caller; a slow caller holds no slot; connections above the limit are refused.

--- a/cactusvane/daemon.py
+++ b/cactusvane/daemon.py
@@ -37,8 +37,8 @@
 DRAIN_MS = 30_000
 """How long a stopping daemon waits for what is in flight."""
 
-NOT_READY_MS = 200
-"""How long a stopping daemon still takes connections, so that the balancer sees it leave."""
+LEAVING_MS = 2_000
+"""How long a stopping daemon still takes requests, so that balancer and callers move on first."""
 
 USAGE_ERROR = 2
 GC_THRESHOLD = 50_000
@@ -198,7 +198,8 @@
     async def stop(self) -> None:
         """Finish what is in flight and close."""
         events.write(Event.DAEMON_DRAINING, vm=self.settings.vm)
-        await asyncio.sleep(NOT_READY_MS / MS_PER_SECOND)
+        self.server.leave()
+        await asyncio.sleep(LEAVING_MS / MS_PER_SECOND)
         await self.server.drain(DRAIN_MS)
         for task in self.tasks:
             task.cancel()
--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -15,7 +15,7 @@
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.http.check import bad_request
 from cactusvane.http.client import ClientConnection, fetch
-from cactusvane.http.connection import TargetConnections
+from cactusvane.http.connection import TargetConnections, spares_allowed
 from cactusvane.http.message import Answer, Request, end_to_end
 from cactusvane.http.server import VERDICT_HEADER, Caller
 from cactusvane.http.stream import RelayedStream
@@ -133,8 +133,16 @@
     def show_targets(self, name: str) -> None:
         """Tell the pool of a service what the VM list shows of it."""
         targets = tuple(vm for vm in self.vms if vm.service == name)
+        self.allow_spares(self.services[name].pool.service, targets)
         self.tell(self.services[name].pool, TargetsListed(targets))
 
+    def allow_spares(self, service: Service, targets: tuple[Vm, ...]) -> None:
+        """Keep this entry's unused connections within its share of the targets' limit."""
+        entries = sum(not vm.service for vm in self.vms)
+        allowed = spares_allowed(service.connections, entries, service.slots)
+        for vm in targets:
+            self.connections.most_spares[vm.address] = allowed
+
     def tick(self) -> None:
         """Let time pass in all pools and connections."""
         for state in self.services.values():
--- a/cactusvane/http/connection.py
+++ b/cactusvane/http/connection.py
@@ -63,6 +63,32 @@
     used: float = 0.0
 
 
+def spares_allowed(connections: int, entries: int, slots: int) -> int:
+    """Return how many unused connections one entry may hold to one target.
+
+    Parameters
+    ----------
+    connections
+        What the target accepts from the whole fleet.
+    entries
+        VMs of the fleet.
+    slots
+        Requests that the target runs at once, and so connections of one entry in use.
+
+    Returns
+    -------
+    int
+        0 where the entry's share of the connections is needed for requests.
+
+    Examples
+    --------
+    >>> spares_allowed(400, 48, 4), spares_allowed(400, 5_700, 4)
+    (4, 0)
+    """
+    share = connections // max(1, entries)
+    return max(0, min(MOST_SPARES, share - slots))
+
+
 class TargetConnections:
     """Hands out connections that have carried nothing yet.
 
@@ -72,12 +98,18 @@
         Bounds for the connections.
     clock
         The process's clock.
+
+    Attributes
+    ----------
+    most_spares
+        Unused connections allowed to each target; `MOST_SPARES` for targets that are not in it.
     """
 
     def __init__(self, limits: HttpLimits, clock: Clock) -> None:
         self.limits = limits
         self.clock = clock
         self.targets: dict[Address, TargetState] = {}
+        self.most_spares: dict[Address, int] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def take(self, target: Address, verified: bool) -> ClientConnection:
@@ -105,7 +137,7 @@
         connection = self.pop(state, now - (VERIFIED_MS if verified else SPARE_MS))
         if connection:
             return connection
-        state.wanted = min(state.wanted + 1, MOST_SPARES)
+        state.wanted += 1
         return await self.open(target)
 
     def pop(self, state: TargetState, oldest: float) -> ClientConnection | None:
@@ -140,6 +172,7 @@
         state.refilling = False
         if self.targets.get(target) is not state:
             return
+        state.wanted = min(state.wanted, self.most_spares.get(target, MOST_SPARES))
         while len(state.spares) + state.opening < state.wanted:
             state.opening += 1
             task = asyncio.get_running_loop().create_task(self.open_spare(target, state))
--- a/cactusvane/http/server.py
+++ b/cactusvane/http/server.py
@@ -85,6 +85,7 @@
         self.limits = limits
         self.handler = handler
         self.connections: set[ServerConnection] = set()
+        self.leaving = False
         self.draining = False
         self.empty = asyncio.Event()
         self.listener: asyncio.Server | None = None
@@ -98,6 +99,10 @@
         host, port = self.listener.sockets[0].getsockname()[:2]
         return Address(host, port)
 
+    def leave(self) -> None:
+        """Ask callers to go elsewhere: each answer from now on closes its connection."""
+        self.leaving = True
+
     async def drain(self, timeout_ms: float) -> None:
         """Take no new connections, finish what is in flight, then close.
 
@@ -106,6 +111,7 @@
         timeout_ms
             After this time the remaining connections are reset.
         """
+        self.leaving = True
         self.draining = True
         if self.listener:
             self.listener.close()
@@ -354,7 +360,7 @@
             headers.append((b"content-length", b"%d" % answer.length))
         elif answer.rest is not None:
             headers.append((b"transfer-encoding", b"chunked"))
-        if self.server.draining or self.caller.gone:
+        if self.server.leaving or self.caller.gone:
             headers.append((b"connection", b"close"))
         head = self.parser.send(h11.Response(status_code=answer.status, headers=headers)) or b""
         return head + self.encode_data(answer.body)
@@ -378,7 +384,7 @@
         if self.closing:
             return
         done = self.parser.our_state is h11.DONE and self.parser.their_state is h11.DONE
-        if not done or self.server.draining or self.caller.gone:
+        if not done or self.server.leaving or self.caller.gone:
             self.close()
             return
         self.parser.start_next_cycle()
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -115,6 +115,40 @@
     assert say(GOOD, wait, eof=True).endswith(b"finished all the same")
 
 
+def test_connections_above_the_limit_are_refused() -> None:
+    async def run() -> bytes:
+        server = Server(HttpLimits(connections=1), echo)
+        address = await server.start(Address("127.0.0.1", 0))
+        first = await asyncio.open_connection(address.host, address.port)
+        first[1].write(GOOD)
+        await first[0].readuntil(b"\r\n\r\n")
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        reply = await reader.read(10_000)
+        writer.close()
+        first[1].close()
+        await server.drain(1_000)
+        return reply
+
+    reply = asyncio.run(run())
+    assert reply.startswith(b"HTTP/1.1 503 ")
+    assert b'"code":"busy"' in reply
+
+
+def test_answers_of_a_leaving_server_close_their_connections() -> None:
+    async def run() -> bytes:
+        server = Server(LIMITS, echo)
+        address = await server.start(Address("127.0.0.1", 0))
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        server.leave()
+        writer.write(GOOD)
+        reply = await reader.read()
+        writer.close()
+        await server.drain(1_000)
+        return reply
+
+    assert b"connection: close" in asyncio.run(run()).lower()
+
+
 PIECES = st.sampled_from(
     [
         GOOD,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -160,6 +160,59 @@
     assert in_flight == 0
 
 
+def test_a_second_late_answer_never_reaches_the_next_caller() -> None:
+    async def run() -> set[bytes]:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+                body = head.split(b" ")[1]
+                reply = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b" % (len(body), body)
+                writer.write(reply)
+                await asyncio.sleep(0.005)
+                writer.write(reply)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                pass
+            writer.close()
+
+        target = await asyncio.start_server(serve, "127.0.0.1", 0)
+        entry, server, address, targets = await started([])
+        at = Address(*target.sockets[0].getsockname())
+        entry.list_vms((Vm("t", at, "Gobabis", service="records"),))
+        wrong = set()
+        for number in range(60):
+            path = f"/read/{number}"
+            answer = await fetch(address, "GET", path, [(b"host", b"a")], b"", 5_000, LIMITS)
+            if answer.body != path.encode():
+                wrong.add(answer.body)
+            await asyncio.sleep(0.002)
+        await server.drain(1_000)
+        for each in (target, *targets.servers):
+            each.close()
+        return wrong
+
+    assert not asyncio.run(run())
+
+
+def test_a_slow_caller_holds_no_slot() -> None:
+    async def run() -> int:
+        body = b"x" * 1_900
+        entry, server, address, targets = await started(
+            [b"HTTP/1.1 200 OK\r\ncontent-length: 1900\r\n\r\n" + body]
+        )
+        reader, writer = await asyncio.open_connection(address.host, address.port, limit=64)
+        writer.write(b"GET /read HTTP/1.1\r\nhost: a\r\n\r\n")
+        await reader.read(1)
+        pool = entry.services["records"].pool
+        in_flight = sum(target.in_flight for target in pool.targets.values())
+        writer.close()
+        await server.drain(1_000)
+        for each in targets.servers:
+            each.close()
+        return in_flight
+
+    assert asyncio.run(run()) == 0
+
+
 REPLIES = st.one_of(
     st.sampled_from([OK, SHED, DRAINING, FAILED, CUT, b"", OK + OK, OK + b"x"]),
     st.binary(max_size=60),
