--- /dev/null
+++ b/bench/resident.py
@@ -0,0 +1,89 @@
+"""Prints how much resident memory one part takes: ``python -m bench.resident PART SIZE``."""
+
+import argparse
+import gc
+import os
+from collections.abc import Callable
+from random import Random
+
+from bench.population import configuration, members, targets
+from cactusvane.configuration.model import Configuration
+from cactusvane.configuration.routes import RoutingTable
+from cactusvane.fleet.membership import Membership
+from cactusvane.fleet.messages import Listed
+from cactusvane.pool.keeper import Keeper
+from cactusvane.pool.messages import TargetsListed
+from cactusvane.pool.pool import Pool
+
+MB = 1_000_000
+STATM_RESIDENT = 1
+
+
+def resident_mb() -> float:
+    """Return this process's resident memory in MB, from ``/proc/self/statm``."""
+    with open("/proc/self/statm") as statm:
+        pages = int(statm.read().split()[STATM_RESIDENT])
+    return pages * os.sysconf("SC_PAGE_SIZE") / MB
+
+
+def routes(size: int) -> object:
+    """Hold a routing table of `size` routes."""
+    return RoutingTable(configuration(size))
+
+
+def pools(size: int) -> object:
+    """Hold pools with `size` targets in all."""
+    services = configuration(size).services
+    held = []
+    for service, vms in zip(services, targets(services, size), strict=True):
+        pool = Pool(service, "zone-0", Random(1))
+        pool.handle(TargetsListed(vms), 0.0)
+        held.append(pool)
+    return held
+
+
+def keepers(size: int) -> object:
+    """Hold keepers of `size` targets in all."""
+    services = configuration(size).services
+    held = []
+    for service, vms in zip(services, targets(services, size), strict=True):
+        keeper = Keeper(service)
+        keeper.handle(TargetsListed(vms), 0.0)
+        held.append(keeper)
+    return held
+
+
+def membership(size: int) -> object:
+    """Hold the beliefs about `size` VMs."""
+    vms = members(size)
+    held = Membership(vms[0], Random(1))
+    held.handle(Listed(vms), 0.0)
+    return held
+
+
+def nothing(size: int) -> object:
+    """Hold nothing beside the imports."""
+    return Configuration()
+
+
+PARTS: dict[str, Callable[[int], object]] = {
+    part.__name__: part for part in (routes, pools, keepers, membership, nothing)
+}
+
+
+def main() -> None:
+    """Build the part and print the growth of resident memory in MB."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("part", choices=sorted(PARTS))
+    parser.add_argument("size", type=int)
+    options = parser.parse_args()
+    gc.collect()
+    before = resident_mb()
+    held = PARTS[options.part](options.size)
+    gc.collect()
+    print(f"{resident_mb() - before:.3f}")
+    del held
+
+
+if __name__ == "__main__":
+    main()
