Report service-level burn from stored and fresh figures

Cause: the ledger had no reader and no writer. Change: the entry counts each request, the daemon stores buckets that are over and all of them when it stops, cactusvane report burn merges what the table holds with what VMs have not stored yet.

--- a/cactusvane/daemon.py
+++ b/cactusvane/daemon.py
@@ -29,11 +29,16 @@
 from cactusvane.http.server import Caller, Server
 from cactusvane.metrics import Recorder
 from cactusvane.platform.client import HttpPlatform
+from cactusvane.report.ledger import BUCKET_MS
+from cactusvane.report.store import flush
 from cactusvane.settings import Settings
 
 TICK_MS = 100
 """How often time passes in the pools."""
 
+STORE_BURN_MS = 10_000
+"""How often buckets of the burn report that are over are stored."""
+
 DRAIN_MS = 30_000
 """How long a stopping daemon waits for what is in flight."""
 
@@ -161,6 +166,7 @@
             self.follower.run(),
             self.repeat(self.settings.vm_list_ms, self.list_vms),
             self.repeat(TICK_MS, self.tick),
+            self.repeat(STORE_BURN_MS, self.store_burn),
         ):
             self.tasks.append(loop.create_task(work))
 
@@ -180,6 +186,10 @@
             self.listed = True
             self.note_ready()
 
+    async def store_burn(self) -> None:
+        """Store what the burn report needs, as far as it is over."""
+        await flush(self.entry.ledger, self.platform, self.clock.wall())
+
     async def tick(self) -> None:
         """Let time pass."""
         self.entry.tick()
@@ -204,6 +214,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        await flush(self.entry.ledger, self.platform, self.clock.wall() + BUCKET_MS)
         self.entry.connections.close()
         await self.admin.drain(0)
         events.write(Event.DAEMON_STOPPED, vm=self.settings.vm)
@@ -216,11 +227,14 @@
             case "GET", "/status":
                 headers = [(b"content-type", b"application/json")]
                 return Answer(200, headers, msgspec.json.encode(self.status()))
+            case "GET", "/burn":
+                headers = [(b"content-type", b"application/json")]
+                return Answer(200, headers, msgspec.json.encode(self.entry.ledger.all()))
             case "GET", "/metrics":
                 headers = [(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")]
                 return Answer(200, headers, self.recorder.text())
             case _:
-                raise bad_request("no-route", "there are /ready, /status and /metrics", 404)
+                raise bad_request("no-route", "there are /ready, /status, /burn and /metrics", 404)
 
     def status(self) -> Status:
         """Return what this VM knows."""
--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -41,6 +41,8 @@
     Ticked,
 )
 from cactusvane.pool.pool import Pool
+from cactusvane.report.ledger import Ledger
+from cactusvane.report.order import in_good_order, objective_of
 from cactusvane.request.attempts import (
     Answered,
     AttemptResult,
@@ -96,6 +98,7 @@
         self.random = random
         self.recorder = recorder
         self.connections = TargetConnections(settings.http, clock)
+        self.ledger = Ledger(settings.vm)
         self.table = RoutingTable(Configuration())
         self.services: dict[str, ServiceState] = {}
         self.vms: tuple[Vm, ...] = ()
@@ -288,6 +291,9 @@
         """Record what the caller is told."""
         total = self.clock.now() - self.started
         self.record.answered(status, verdict, total, total - self.at_targets)
+        service, kind = self.state.pool.service, self.route.kind
+        good = in_good_order(objective_of(service, kind), status, verdict, total)
+        self.entry.ledger.record(service.name, kind, good, self.clock.wall())
 
     async def attempt(self, command: Try) -> AttemptResult:
         """Do one attempt and tell the pool how it ended."""
--- a/cactusvane/report/ledger.py
+++ b/cactusvane/report/ledger.py
@@ -93,11 +93,9 @@
         present = bucket_start(wall_ms)
         return tuple(self.snapshot(start) for start in sorted(self.buckets) if start < present)
 
-    def open(self, wall_ms: float) -> Bucket:
-        """Return the bucket that holds `wall_ms` as far as it is counted."""
-        start = bucket_start(wall_ms)
-        self.buckets.setdefault(start, {})
-        return self.snapshot(start)
+    def all(self) -> tuple[Bucket, ...]:
+        """Return every bucket that is not stored yet, the open one among them."""
+        return tuple(self.snapshot(start) for start in sorted(self.buckets))
 
     def forget(self, bucket: Bucket) -> None:
         """Drop a bucket that was stored; a bucket dropped before is ignored."""
--- a/cactusvane/ui/commands/report.py
+++ b/cactusvane/ui/commands/report.py
@@ -1,10 +1,81 @@
 """The commands that report on the service that callers got."""
 
+import asyncio
+from pathlib import Path
+from typing import Annotated
+
 import typer
 
+from cactusvane.clock import Clock
+from cactusvane.configuration.publish import read_base
+from cactusvane.errors import InputError
+from cactusvane.fleet.vm import Address
+from cactusvane.platform.client import HttpPlatform
+from cactusvane.report.burn import BUDGET_WINDOW_MS, BurnReport, KindBurn, report
+from cactusvane.report.page import render
+from cactusvane.report.store import load
+from cactusvane.ui.fleet import ask_buckets, entry_vms
+from cactusvane.ui.options import DEFAULT_PLATFORM, JsonOption, PlatformOption
+from cactusvane.ui.output import print_result, table
+
 app = typer.Typer(no_args_is_help=True, help="Report on the service that callers got.")
 
+HEAD = ("service", "kind", "requests 6 h", "burn 1 h", "5 min", "6 h", "30 min", "left", "alarm")
+
+HtmlOption = Annotated[
+    Path | None, typer.Option("--html", help="Also write the report as one HTML page.")
+]
+
 
 @app.callback()
-def report() -> None:
+def main() -> None:
     """Report on the service that callers got."""
+
+
+@app.command()
+def burn(
+    platform: PlatformOption = DEFAULT_PLATFORM,  # type: ignore[assignment]
+    html: HtmlOption = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Say how fast each service spends its error budget, from the figures of all VMs."""
+    found = asyncio.run(read_report(platform))
+    if html:
+        write_page(html, found)
+    print_result(found, as_text(found), as_json)
+
+
+async def read_report(address: Address) -> BurnReport:
+    """Merge the stored figures with those that VMs have not stored yet."""
+    platform = HttpPlatform(address)
+    now = Clock().wall()
+    base = await read_base(platform)
+    stored = await load(platform, now - BUDGET_WINDOW_MS)
+    fresh = await ask_buckets(entry_vms(await platform.list_vms()))
+    return report((*stored, *fresh), base.configuration, now)
+
+
+def write_page(path: Path, found: BurnReport) -> None:
+    """Write the page, or raise `InputError` where the file cannot be written."""
+    try:
+        path.write_text(render(found))
+    except OSError as error:
+        raise InputError(f"{path}: {error.strerror}") from error
+
+
+def as_text(found: BurnReport) -> str:
+    """Return the report as text for a terminal."""
+    rows = [
+        (service.service, *as_row(kind)) for service in found.services for kind in service.kinds
+    ]
+    shares = [(service.service, f"{service.delivered:.4%}") for service in found.services]
+    delivered = table(("service", "delivered in good order, weighted by kind"), shares)
+    return f"{found.coverage:.1%} of the figures are here\n{table(HEAD, rows)}\n\n{delivered}"
+
+
+def as_row(kind: KindBurn) -> tuple[str, ...]:
+    """Return the columns of one kind."""
+    windows = (kind.fast_long, kind.fast_short, kind.slow_long, kind.slow_short)
+    rates = tuple(f"{window.rate:.2f}" for window in windows)
+    left = f"{kind.budget_left:.1%}"
+    return (kind.objective.kind, str(kind.slow_long.total), *rates, left, kind.alarm.value)
--- a/cactusvane/ui/fleet.py
+++ b/cactusvane/ui/fleet.py
@@ -2,17 +2,20 @@
 
 import asyncio
 from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 
 from cactusvane.errors import ExchangeError
 from cactusvane.fleet.vm import Address, Vm, VmState
 from cactusvane.http.client import fetch
+from cactusvane.report.ledger import Bucket
 from cactusvane.settings import HttpLimits
 
 TIMEOUT_MS = 2_000.0
 AT_ONCE = 64
 OK = 200
+T = TypeVar("T")
 LIMITS = HttpLimits(body_bytes=64 * 1_048_576)
 
 
@@ -56,17 +59,35 @@
     """Ask every VM for its status, a bounded number at once."""
     limit = asyncio.Semaphore(AT_ONCE)
 
-    async def ask(vm: Vm) -> VmReport:
+    async def ask_one(vm: Vm) -> VmReport:
         async with limit:
             return VmReport(vm, await ask_status(vm.admin) if vm.admin else None)
 
-    return tuple(await asyncio.gather(*(ask(vm) for vm in vms)))
+    return tuple(await asyncio.gather(*(ask_one(vm) for vm in vms)))
 
 
 async def ask_status(address: Address) -> Status | None:
     """Return what the VM at `address` says of itself, or None where it does not answer."""
+    return await ask(address, "/status", Status)
+
+
+async def ask_buckets(vms: tuple[Vm, ...]) -> tuple[Bucket, ...]:
+    """Return what the VMs have counted for the burn report and not stored yet."""
+    limit = asyncio.Semaphore(AT_ONCE)
+
+    async def ask_one(vm: Vm) -> tuple[Bucket, ...]:
+        async with limit:
+            buckets = await ask(vm.admin, "/burn", tuple[Bucket, ...]) if vm.admin else None
+            return buckets or ()
+
+    found = await asyncio.gather(*(ask_one(vm) for vm in vms))
+    return tuple(bucket for buckets in found for bucket in buckets)
+
+
+async def ask(address: Address, path: str, kind: type[T]) -> T | None:
+    """Return what an admin port answers, decoded, or None where it does not answer."""
     try:
-        answer = await fetch(address, "GET", "/status", (), b"", TIMEOUT_MS, LIMITS)
-        return msgspec.json.decode(answer.body, type=Status) if answer.status == OK else None
+        answer = await fetch(address, "GET", path, (), b"", TIMEOUT_MS, LIMITS)
+        return msgspec.json.decode(answer.body, type=kind) if answer.status == OK else None
     except (ExchangeError, msgspec.DecodeError):
         return None
