--- /dev/null
+++ b/cactusvane/slots/settings.py
@@ -0,0 +1,55 @@
+"""Settings of slots, shared by entries and keepers."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class SlotSettings:
+    """Times in milliseconds, bounds and weights.
+
+    Parameters
+    ----------
+    busy_share
+        Share of requests that found no slot at once, above which an entry asks before it sends.
+    report_share
+        The same share, above which an entry reports what it runs without credits.
+    share_weight
+        Weight of the latest request in that share.
+    tries
+        Targets that a request tries without a credit.
+    queue
+        Requests that may wait at one entry for one service.
+    ask
+        Most credits that an entry wants at once.
+    lease_ms
+        Lease of a credit.
+    late_ms
+        A keeper that has not answered an ask after this time is late.
+    retry_ms
+        A late keeper is asked again after this time.
+    backoff_ms
+        Pause after a shed without a keeper.
+    full_ms
+        How long a keeper passes over a target that shed.
+    reclaim_ms
+        How long after the lease a keeper counts an unreturned credit as in use.
+    recover_ms
+        Time in which a target's limit grows by one slot.
+    slow_factor
+        A target this many times slower than the service's usual latency loses a slot.
+    """
+
+    busy_share: float = 0.5
+    report_share: float = 0.1
+    share_weight: float = 0.05
+    tries: int = 2
+    queue: int = 64
+    ask: int = 4
+    lease_ms: float = 100.0
+    late_ms: float = 10.0
+    retry_ms: float = 1_000.0
+    backoff_ms: float = 8.0
+    full_ms: float = 6.0
+    reclaim_ms: float = 500.0
+    recover_ms: float = 100.0
+    slow_factor: float = 3.0
