Join the daemons to a fleet: gossip, keepers, evidence, credits

Daemons stood alone: each judged targets by its own traffic and none shared slots. A node now runs membership over gRPC, spreads heads that are in force (not ones merely heard, so that two failure domains' word stays two), fetches configuration and VM list from peers, and carries evidence and credits on one held stream to each keeper. Requests wait at a gate in front of the pool.

--- a/cactusvane/daemon.py
+++ b/cactusvane/daemon.py
@@ -6,7 +6,6 @@
 
 import argparse
 import asyncio
-import contextlib
 import gc
 import signal
 import sys
@@ -24,10 +23,12 @@
 from cactusvane.entry import Entry
 from cactusvane.errors import InputError, PlatformError, SettingsError
 from cactusvane.events import Event
+from cactusvane.fleet.vm import Vm
 from cactusvane.http.check import bad_request
 from cactusvane.http.message import Answer, Request
 from cactusvane.http.server import Caller, Server
 from cactusvane.metrics import Recorder
+from cactusvane.peers.node import Node
 from cactusvane.platform.client import HttpPlatform
 from cactusvane.report.ledger import BUCKET_MS
 from cactusvane.report.store import flush
@@ -129,6 +130,7 @@
         self.platform = HttpPlatform(settings.platform)
         self.follower = Follower(settings, self.platform, self.clock)
         self.follower.on_change.append(self.change_configuration)
+        self.node = Node(settings, self.clock, self.entry, self.follower)
         self.server = Server(settings.http, self.entry.handle)
         self.admin = Server(settings.http, self.answer_admin)
         self.stopping = asyncio.Event()
@@ -154,6 +156,7 @@
             loop.add_signal_handler(number, self.stopping.set)
         address = await self.server.start(self.settings.listen)
         await self.admin.start(self.settings.admin)
+        await self.node.start()
         events.write(Event.DAEMON_STARTED, vm=self.settings.vm, address=address)
         self.start_tasks()
         await self.stopping.wait()
@@ -181,10 +184,16 @@
 
     async def list_vms(self) -> None:
         """Take the platform's VM list; the last one serves while there is none."""
-        with contextlib.suppress(PlatformError):
-            self.entry.list_vms(await self.platform.list_vms())
-            self.listed = True
-            self.note_ready()
+        try:
+            vms: tuple[Vm, ...] | None = await self.platform.list_vms()
+        except PlatformError:
+            vms = None if self.listed else await self.node.fetch_list()
+        if vms is None:
+            return
+        self.entry.list_vms(vms)
+        self.node.list_vms(vms)
+        self.listed = True
+        self.note_ready()
 
     async def store_burn(self) -> None:
         """Store what the burn report needs, as far as it is over."""
@@ -197,6 +206,7 @@
     def change_configuration(self, configuration: Configuration) -> None:
         """Put a configuration in force."""
         self.entry.configure(configuration)
+        self.node.configure(configuration)
         self.note_ready()
 
     def note_ready(self) -> None:
@@ -215,6 +225,7 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         await flush(self.entry.ledger, self.platform, self.clock.wall() + BUCKET_MS)
+        await self.node.stop()
         self.entry.connections.close()
         await self.admin.drain(0)
         events.write(Event.DAEMON_STOPPED, vm=self.settings.vm)
--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -41,6 +41,7 @@
     Ticked,
 )
 from cactusvane.pool.pool import Pool
+from cactusvane.pool.target import TargetState
 from cactusvane.report.ledger import Ledger
 from cactusvane.report.order import in_good_order, objective_of
 from cactusvane.request.attempts import (
@@ -55,6 +56,9 @@
 )
 from cactusvane.request.budget import RetryBudget
 from cactusvane.settings import Settings
+from cactusvane.slots.entry import EntrySlots, Pending
+from cactusvane.slots.gate import Gate, Ticket
+from cactusvane.slots.messages import TargetsInUse
 from cactusvane.verdict import Verdict
 
 DEADLINE_HEADER = b"cactusvane-deadline-ms"
@@ -69,10 +73,24 @@
 
 @dataclass(slots=True)
 class ServiceState:
-    """What one entry holds for one service."""
+    """What one entry holds for one service.
+
+    Parameters
+    ----------
+    pool
+        The targets.
+    budget
+        Retries that may still be made.
+    gate
+        Where requests wait for a slot.
+    in_use
+        The pool's targets that the gate was last told of.
+    """
 
     pool: Pool
     budget: RetryBudget
+    gate: Gate
+    in_use: tuple[TargetState, ...] = ()
 
 
 class Entry:
@@ -122,11 +140,23 @@
         """Return the state of `service`, new or carried on."""
         state = self.services.get(service.name)
         if state is None:
-            pool = Pool(service, self.settings.failure_domain, self.random)
-            return ServiceState(pool, RetryBudget())
+            return self.new_state(service)
+        state.gate.slots.slots = service.slots
         self.tell(state.pool, ServiceChanged(service))
         return state
 
+    def new_state(self, service: Service) -> ServiceState:
+        """Return the state of a service that was not there before."""
+        domain = self.settings.failure_domain
+        pool = Pool(service, domain, self.random)
+
+        def choose(pending: Pending, now: float) -> Address | None:
+            vm = pool.choose(now, pending.tried, pending.idempotent)
+            return vm.address if vm else None
+
+        slots = EntrySlots(domain, service.slots, self.random, chooser=choose)
+        return ServiceState(pool, RetryBudget(), Gate(slots, self.clock))
+
     def list_vms(self, vms: tuple[Vm, ...]) -> None:
         """Take in the platform's VM list."""
         self.vms = vms
@@ -156,6 +186,10 @@
         """Give an event to a pool and carry out its commands."""
         for command in pool.handle(event, self.clock.now()):
             self.execute(command, pool.service.name)
+        state = self.services.get(pool.service.name)
+        if state is not None and state.in_use is not pool.in_use:
+            state.in_use = pool.in_use
+            state.gate.tell(TargetsInUse(tuple(target.vm for target in pool.in_use)))
 
     def execute(self, command: PoolCommand, service: str) -> None:
         """Carry out one command of a pool."""
@@ -271,13 +305,18 @@
         self.attempts = Attempts(match.route, deadline, self.state.budget, self.started)
         self.tried: frozenset[Address] = frozenset()
         self.answer: Answer | None = None
+        self.ticket: Ticket | None = None
 
     async def run(self) -> Answer:
         """Send the request until the attempts say what its caller gets."""
         command = self.attempts.first(self.started)
-        while isinstance(command, Try):
-            result = await self.attempt(command)
-            command = self.attempts.ended(result, self.clock.now())
+        try:
+            while isinstance(command, Try):
+                result = await self.attempt(command)
+                command = self.attempts.ended(result, self.clock.now())
+        finally:
+            if self.answer is None or self.answer.rest is None:
+                self.withdraw()
         match command:
             case Deliver():
                 assert self.answer is not None
@@ -297,10 +336,9 @@
 
     async def attempt(self, command: Try) -> AttemptResult:
         """Do one attempt and tell the pool how it ended."""
-        target = self.choose()
-        if target is None:
+        address = await self.choose()
+        if address is None:
             return NoTarget()
-        address = target.address
         self.tried |= {address}
         self.entry.tell(self.state.pool, AttemptStarted(address))
         started = self.clock.now()
@@ -314,16 +352,32 @@
             if self.answer is None or self.answer.rest is None:
                 self.end(address, started, outcome)
 
-    def choose(self) -> Vm | None:
-        """Choose a target that this request has not tried."""
-        pool = self.state.pool
-        return pool.choose(self.clock.now(), self.tried, self.route.idempotent)
+    async def choose(self) -> Address | None:
+        """Wait for a slot at a target that this request has not tried."""
+        gate = self.state.gate
+        if self.ticket is None:
+            deadline = self.attempts.deadline
+            self.ticket = gate.open(deadline, self.tried, self.route.idempotent)
+        address = await gate.wait(self.ticket)
+        if address is None:
+            self.withdraw()
+        return address
+
+    def withdraw(self) -> None:
+        """Let go of the place at the gate, if there is one."""
+        if self.ticket is not None:
+            self.state.gate.withdraw(self.ticket)
+            self.ticket = None
 
     def end(self, address: Address, started: float, outcome: Outcome) -> None:
         """Tell pool and metrics that an attempt ended."""
         latency = self.clock.now() - started
         self.record.attempted(outcome)
         self.entry.tell(self.state.pool, AttemptEnded(address, outcome, latency))
+        if self.ticket is not None:
+            self.state.gate.end(self.ticket, outcome, latency)
+            if outcome is not Outcome.SHED:
+                self.ticket = None
 
     def outcome(self, result: AttemptResult) -> Outcome:
         """Return what the pool learns from a result."""
--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -45,6 +45,10 @@
     TARGET_RETURNED = EventKind(1202, logging.INFO, "{service}: {target} is back")
     OWN_PATH_SUSPECTED = EventKind(1203, logging.WARNING, "{service}: this VM's path looks broken")
     OWN_PATH_CLEARED = EventKind(1204, logging.INFO, "{service}: this VM's path is well again")
+    KEEPER_LATE = EventKind(1301, logging.WARNING, "{service}: the keeper of slots is late")
+    FLEET_CHANGED = EventKind(1401, logging.INFO, "{vms} VMs of the fleet are live")
+    KEEPER_CHANGED = EventKind(1402, logging.INFO, "{service}: {vm} is the keeper")
+    LISTED_BY_PEER = EventKind(1403, logging.INFO, "took the VM list from another VM: {vms} VMs")
 
     CONFIGURATION_ADOPTED = EventKind(1601, logging.INFO, "version {version} is in force")
     CONFIGURATION_REJECTED = EventKind(
--- a/cactusvane/fleet/membership.py
+++ b/cactusvane/fleet/membership.py
@@ -187,7 +187,7 @@
             case Received(envelope):
                 commands.extend(self.receive(envelope, now))
             case HeadInForce(head):
-                self.take_head(head)
+                commands.extend(self.spread_head(head))
             case Stopping():
                 commands.extend(self.stop(now))
             case Ticked():
@@ -211,13 +211,13 @@
             if gone is not None and name != self.name and gone.status is Status.ALIVE:
                 self.believe(replace(gone, status=Status.SUSPECT), now)
 
-    def take_head(self, head: Head) -> bool:
-        """Remember a higher head and spread it; say whether it was higher."""
+    def spread_head(self, head: Head) -> list[FleetCommand]:
+        """Tell others of a head that came into force here."""
         if self.head is not None and head.version <= self.head.version:
-            return False
+            return []
         self.head = head
         self.head_sends = self.spread_limit()
-        return True
+        return self.gossip()
 
     def receive(self, envelope: Envelope, now: float) -> list[FleetCommand]:
         """Take in a message and answer it."""
@@ -229,9 +229,9 @@
         self.believe(sender, now)
         for update in envelope.updates:
             self.believe(update, now)
-        if envelope.head is not None and self.take_head(envelope.head):
+        version = self.head.version if self.head else 0
+        if envelope.head is not None and envelope.head.version > version:
             commands.append(HeadHeard(envelope.head, sender.vm))
-            commands.extend(self.gossip())
         commands.extend(self.answer(envelope.body, sender, peer, now))
         return commands
 
--- a/cactusvane/fleet/messages.py
+++ b/cactusvane/fleet/messages.py
@@ -160,7 +160,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HeadHeard:
-    """A peer has a higher head in force."""
+    """A peer has a higher head in force; repeated with each message until this VM has it too."""
 
     head: Head
     vm: Vm
--- /dev/null
+++ b/cactusvane/peers/codec.py
@@ -0,0 +1,304 @@
+"""Data classes to protobuf messages and back.
+
+Each ``pack_`` function has an ``unpack_`` function that undoes it. A message that does not hold
+what it must raises `ValueError`; the caller drops it.
+"""
+
+from typing import Any
+
+from cactusvane.configuration.model import Head
+from cactusvane.fleet.messages import (
+    Ack,
+    Body,
+    Envelope,
+    Member,
+    Ping,
+    PingRequest,
+    Rumor,
+    Status,
+    Sync,
+)
+from cactusvane.fleet.vm import Address, Vm, VmState
+from cactusvane.peers.generated import peers_pb2 as pb
+from cactusvane.peers.messages import (
+    EntryMessage,
+    Hello,
+    KeeperMessage,
+    ServiceAsk,
+    ServiceCredits,
+    ServiceEjection,
+    ServiceReturn,
+)
+from cactusvane.pool.messages import Ejection, Outcome, ReportEvidence, TargetCounts
+from cactusvane.slots.messages import Ask, Credit, CreditsAnswered, CreditUse, Use
+
+
+def pack_address(address: Address) -> Any:
+    """Return a ``pb.Address``."""
+    return pb.Address(host=address.host, port=address.port)
+
+
+def unpack_address(message: Any) -> Address:
+    """Return an `Address`."""
+    if not message.host or not 0 < message.port < 65_536:
+        raise ValueError(f"no address: {message.host}:{message.port}")
+    return Address(message.host, message.port)
+
+
+def pack_vm(vm: Vm) -> Any:
+    """Return a ``pb.Vm``."""
+    return pb.Vm(
+        name=vm.name,
+        address=pack_address(vm.address),
+        failure_domain=vm.failure_domain,
+        region=vm.region,
+        service=vm.service,
+        peer=pack_address(vm.peer) if vm.peer else None,
+        leaving=vm.state is VmState.LEAVING,
+    )
+
+
+def unpack_vm(message: Any) -> Vm:
+    """Return a `Vm`."""
+    return Vm(
+        name=message.name,
+        address=unpack_address(message.address),
+        failure_domain=message.failure_domain,
+        region=message.region,
+        service=message.service,
+        peer=unpack_address(message.peer) if message.HasField("peer") else None,
+        state=VmState.LEAVING if message.leaving else VmState.LIVE,
+    )
+
+
+def pack_member(member: Member) -> Any:
+    """Return a ``pb.Member``."""
+    return pb.Member(
+        vm=pack_vm(member.vm), incarnation=member.incarnation, status=member.status.value
+    )
+
+
+def unpack_member(message: Any) -> Member:
+    """Return a `Member`."""
+    return Member(unpack_vm(message.vm), message.incarnation, Status(message.status))
+
+
+def pack_head(head: Head) -> Any:
+    """Return a ``pb.Head``."""
+    return pb.Head(version=head.version, digest=head.digest, publish_id=head.publish_id)
+
+
+def unpack_head(message: Any) -> Head:
+    """Return a `Head`."""
+    return Head(message.version, message.digest, message.publish_id)
+
+
+def pack_envelope(envelope: Envelope) -> Any:
+    """Return a ``pb.Envelope``."""
+    message = pb.Envelope(
+        sender=pack_member(envelope.sender),
+        updates=[pack_member(update) for update in envelope.updates],
+        head=pack_head(envelope.head) if envelope.head else None,
+    )
+    match envelope.body:
+        case Ping(nonce):
+            message.ping = nonce
+        case Ack(nonce):
+            message.ack = nonce
+        case PingRequest(nonce, target):
+            request = pb.PingRequest(nonce=nonce, target=pack_address(target))
+            message.ping_request.CopyFrom(request)
+        case Rumor():
+            message.rumor.SetInParent()
+        case Sync(digest):
+            message.sync = digest
+    return message
+
+
+def unpack_envelope(message: Any) -> Envelope:
+    """Return an `Envelope`."""
+    return Envelope(
+        sender=unpack_member(message.sender),
+        body=unpack_body(message),
+        updates=tuple(unpack_member(update) for update in message.updates),
+        head=unpack_head(message.head) if message.HasField("head") else None,
+    )
+
+
+def unpack_body(message: Any) -> Body:
+    """Return the body of a ``pb.Envelope``."""
+    match message.WhichOneof("body"):
+        case "ping":
+            return Ping(message.ping)
+        case "ack":
+            return Ack(message.ack)
+        case "ping_request":
+            request = message.ping_request
+            return PingRequest(request.nonce, unpack_address(request.target))
+        case "rumor":
+            return Rumor()
+        case "sync":
+            return Sync(message.sync)
+        case other:
+            raise ValueError(f"no such envelope: {other}")
+
+
+def pack_entry_message(message: EntryMessage) -> Any:
+    """Return a ``pb.EntryMessage``."""
+    match message:
+        case Hello(vm, failure_domain):
+            return pb.EntryMessage(hello=pb.Hello(vm=vm, failure_domain=failure_domain))
+        case ReportEvidence(service, counts):
+            packed = [pack_counts(each) for each in counts]
+            return pb.EntryMessage(evidence=pb.Evidence(service=service, counts=packed))
+        case ServiceAsk(service, ask):
+            return pb.EntryMessage(ask=pack_ask(service, ask))
+
+
+def unpack_entry_message(message: Any) -> EntryMessage:
+    """Return an `EntryMessage`."""
+    match message.WhichOneof("body"):
+        case "hello":
+            return Hello(message.hello.vm, message.hello.failure_domain)
+        case "evidence":
+            counts = tuple(unpack_counts(each) for each in message.evidence.counts)
+            return ReportEvidence(message.evidence.service, counts)
+        case "ask":
+            return ServiceAsk(message.ask.service, unpack_ask(message.ask))
+        case other:
+            raise ValueError(f"no such message of an entry: {other}")
+
+
+def pack_counts(counts: TargetCounts) -> Any:
+    """Return a ``pb.TargetCounts``."""
+    return pb.TargetCounts(
+        target=pack_address(counts.target),
+        served=counts.served,
+        failed=counts.failed,
+        in_time=counts.in_time,
+        slow=counts.slow,
+        trial=counts.trial,
+    )
+
+
+def unpack_counts(message: Any) -> TargetCounts:
+    """Return `TargetCounts`."""
+    return TargetCounts(
+        unpack_address(message.target),
+        served=message.served,
+        failed=message.failed,
+        in_time=message.in_time,
+        slow=message.slow,
+        trial=message.trial,
+    )
+
+
+def pack_ask(service: str, ask: Ask) -> Any:
+    """Return a ``pb.Ask``."""
+    return pb.Ask(
+        service=service,
+        sequence=ask.sequence,
+        waiting=ask.waiting,
+        returned=[pack_credit_use(use) for use in ask.returned],
+        full=[pack_address(address) for address in ask.full],
+        uses=[pb.Use(target=pack_address(use.target), count=use.count) for use in ask.uses],
+    )
+
+
+def unpack_ask(message: Any) -> Ask:
+    """Return an `Ask`."""
+    return Ask(
+        sequence=message.sequence,
+        waiting=message.waiting,
+        returned=tuple(unpack_credit_use(use) for use in message.returned),
+        full=tuple(unpack_address(address) for address in message.full),
+        uses=tuple(Use(unpack_address(use.target), use.count) for use in message.uses),
+    )
+
+
+def pack_credit_use(use: CreditUse) -> Any:
+    """Return a ``pb.CreditUse``."""
+    outcome = use.outcome.value if use.outcome else ""
+    return pb.CreditUse(id=use.id, outcome=outcome, latency_ms=use.latency_ms)
+
+
+def unpack_credit_use(message: Any) -> CreditUse:
+    """Return a `CreditUse`."""
+    outcome = Outcome(message.outcome) if message.outcome else None
+    return CreditUse(message.id, outcome, message.latency_ms)
+
+
+def pack_keeper_message(message: KeeperMessage) -> Any:
+    """Return a ``pb.KeeperMessage``."""
+    match message:
+        case ServiceEjection(service, ejection):
+            return pb.KeeperMessage(ejection=pack_ejection(service, ejection))
+        case ServiceReturn(service, target):
+            returned = pb.Return(service=service, target=pack_address(target))
+            return pb.KeeperMessage(returned=returned)
+        case ServiceCredits(service, answer):
+            return pb.KeeperMessage(credits=pack_credits(service, answer))
+
+
+def unpack_keeper_message(message: Any) -> KeeperMessage:
+    """Return a `KeeperMessage`."""
+    match message.WhichOneof("body"):
+        case "ejection":
+            return ServiceEjection(message.ejection.service, unpack_ejection(message.ejection))
+        case "returned":
+            target = unpack_address(message.returned.target)
+            return ServiceReturn(message.returned.service, target)
+        case "credits":
+            return ServiceCredits(message.credits.service, unpack_credits(message.credits))
+        case other:
+            raise ValueError(f"no such message of a keeper: {other}")
+
+
+def pack_ejection(service: str, ejection: Ejection) -> Any:
+    """Return a ``pb.Ejection``."""
+    return pb.Ejection(
+        service=service,
+        target=pack_address(ejection.target),
+        failure_domains=ejection.failure_domains,
+        hold_ms=ejection.hold_ms,
+        expiry_ms=ejection.expiry_ms,
+        trial=ejection.trial,
+        severity=ejection.severity,
+        reason=ejection.reason,
+    )
+
+
+def unpack_ejection(message: Any) -> Ejection:
+    """Return an `Ejection`."""
+    return Ejection(
+        target=unpack_address(message.target),
+        failure_domains=tuple(message.failure_domains),
+        hold_ms=message.hold_ms,
+        expiry_ms=message.expiry_ms,
+        trial=message.trial,
+        severity=message.severity,
+        reason=message.reason,
+    )
+
+
+def pack_credits(service: str, answer: CreditsAnswered) -> Any:
+    """Return a ``pb.Credits``."""
+    return pb.Credits(
+        service=service,
+        sequence=answer.sequence,
+        credits=[
+            pb.Credit(id=credit.id, target=pack_address(credit.target), lease_ms=credit.lease_ms)
+            for credit in answer.credits
+        ],
+    )
+
+
+def unpack_credits(message: Any) -> CreditsAnswered:
+    """Return `CreditsAnswered`."""
+    return CreditsAnswered(
+        sequence=message.sequence,
+        credits=tuple(
+            Credit(credit.id, unpack_address(credit.target), credit.lease_ms)
+            for credit in message.credits
+        ),
+    )
--- /dev/null
+++ b/cactusvane/peers/server.py
@@ -0,0 +1,138 @@
+"""The answering side of messages between VMs, on ``grpc.aio``."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import suppress
+from typing import Any, Protocol
+
+import grpc
+
+from cactusvane.fleet.messages import Envelope
+from cactusvane.fleet.vm import Address, Vm
+from cactusvane.peers.codec import (
+    pack_envelope,
+    pack_keeper_message,
+    pack_vm,
+    unpack_entry_message,
+    unpack_envelope,
+)
+from cactusvane.peers.generated import peers_pb2 as pb
+from cactusvane.peers.generated.peers_pb2_grpc import add_PeersServicer_to_server
+from cactusvane.peers.messages import EntryMessage, Hello, KeeperMessage
+
+MOST_QUEUED = 256
+"""Messages that wait for an entry; the oldest are dropped first."""
+
+MOST_STREAMS = 4_000
+"""Calls that one connection may have under way."""
+
+OPTIONS = (("grpc.so_reuseport", 0), ("grpc.max_concurrent_streams", MOST_STREAMS))
+
+
+class EntryLink:
+    """A keeper's side of the stream to one entry."""
+
+    def __init__(self, hello: Hello) -> None:
+        self.hello = hello
+        self.queue: asyncio.Queue[KeeperMessage] = asyncio.Queue(MOST_QUEUED)
+
+    def send(self, message: KeeperMessage) -> None:
+        """Queue a message; a late entry loses the oldest."""
+        if self.queue.full():
+            self.queue.get_nowait()
+        self.queue.put_nowait(message)
+
+
+class Handler(Protocol):
+    """What the server asks of its VM."""
+
+    def gossip(self, envelope: Envelope) -> tuple[Envelope, ...]:
+        """Take in a message and return answers to its sender."""
+
+    def find_configuration(self, digest: str) -> bytes | None:
+        """Return the stored form of a configuration in force."""
+
+    def list_known(self) -> tuple[Vm, ...] | None:
+        """Return the platform's VM list as last seen."""
+
+    def entry_came(self, link: EntryLink) -> None:
+        """Take in the beginning of an entry's stream."""
+
+    def entry_said(self, link: EntryLink, message: EntryMessage) -> None:
+        """Take in a message of an entry."""
+
+    def entry_went(self, link: EntryLink) -> None:
+        """Take in the end of an entry's stream."""
+
+
+class PeerServer:
+    """Listens for other VMs.
+
+    Parameters
+    ----------
+    handler
+        Takes what arrives.
+    """
+
+    def __init__(self, handler: Handler) -> None:
+        self.handler = handler
+        self.server: Any = None
+
+    async def start(self, address: Address) -> Address:
+        """Listen; a port of 0 takes any free one.
+
+        Returns
+        -------
+        Address
+            Where the server listens.
+        """
+        self.server = grpc.aio.server(options=OPTIONS)
+        add_PeersServicer_to_server(self, self.server)
+        port = self.server.add_insecure_port(str(address))
+        await self.server.start()
+        return Address(address.host, port)
+
+    async def stop(self) -> None:
+        """Close all streams and stop listening."""
+        if self.server is not None:
+            await self.server.stop(None)
+
+    async def Gossip(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Answer ``Peers.Gossip``; a message that makes no sense is dropped."""
+        with suppress(ValueError):
+            replies = self.handler.gossip(unpack_envelope(request))
+            return pb.Reply(envelopes=[pack_envelope(reply) for reply in replies])
+        return pb.Reply()
+
+    async def FetchConfiguration(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Answer ``Peers.FetchConfiguration``."""
+        data = self.handler.find_configuration(request.digest)
+        return pb.FetchReply(found=data is not None, data=data or b"")
+
+    async def ListVms(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Answer ``Peers.ListVms``."""
+        vms = self.handler.list_known()
+        return pb.VmList(known=vms is not None, vms=[pack_vm(vm) for vm in vms or ()])
+
+    async def Keep(self, requests: AsyncIterator[Any], context: Any) -> None:  # noqa: N802
+        """Answer ``Peers.Keep`` until either side closes the stream."""
+        first = unpack_entry_message(await anext(requests))
+        if not isinstance(first, Hello):
+            return
+        link = EntryLink(first)
+        await context.send_initial_metadata(())
+        self.handler.entry_came(link)
+        writer = asyncio.get_running_loop().create_task(self.write(link, context))
+        try:
+            async for request in requests:
+                self.handler.entry_said(link, unpack_entry_message(request))
+        except ValueError:
+            return
+        finally:
+            writer.cancel()
+            self.handler.entry_went(link)
+
+    async def write(self, link: EntryLink, context: Any) -> None:
+        """Send what is queued for an entry."""
+        while True:
+            await context.write(pack_keeper_message(await link.queue.get()))
--- a/cactusvane/request/attempts.py
+++ b/cactusvane/request/attempts.py
@@ -13,6 +13,10 @@
 
 MOST_ATTEMPTS = 3
 
+MOST_SHEDS = 8
+"""Shed attempts of one request that count for nothing else; the gate before the targets paces
+them, so they need no retry budget."""
+
 RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 """Statuses after which an idempotent request is tried elsewhere."""
 
@@ -88,6 +92,7 @@
         self.budget = budget
         self.deadline = now + deadline_ms
         self.made = 0
+        self.sheds = 0
         self.holds_answer = False
         self.last = Lost(Outcome.UNREACHABLE, Verdict.NOT_RUN)
         self.verdict = Verdict.NOT_RUN
@@ -133,10 +138,21 @@
         self.last = loss
         if loss.verdict is not Verdict.NOT_RUN:
             self.verdict = loss.verdict
+        if self.is_paced_shed(loss, now):
+            return self.send(now)
         if loss.verdict.permits_retry(self.route.idempotent) and self.may_retry(now):
             return self.send(now)
         return self.give_up(loss.outcome.value)
 
+    def is_paced_shed(self, loss: Lost, now: float) -> bool:
+        """Say whether a proved shed lets the request wait at the gate again, and count it."""
+        proved = loss.outcome is Outcome.SHED and loss.verdict is Verdict.NOT_RUN
+        if not proved or self.sheds == MOST_SHEDS or now >= self.deadline:
+            return False
+        self.sheds += 1
+        self.made -= 1
+        return True
+
     def may_retry(self, now: float) -> bool:
         """Say whether attempts, time and budget allow another attempt, and take it."""
         return self.made < MOST_ATTEMPTS and now < self.deadline and self.budget.withdraw()
--- a/cactusvane/settings.py
+++ b/cactusvane/settings.py
@@ -62,6 +62,8 @@
         Where operators read status and metrics.
     platform
         Where the platform answers.
+    peers
+        Some VMs to ask while the platform does not answer.
     seed
         Seed of all random choices.
     """
@@ -74,6 +76,7 @@
     peer: Address
     admin: Address
     platform: Address
+    peers: tuple[Address, ...] = ()
     region: str = ""
     seed: int = 0
     vm_list_ms: Annotated[int, Ge(1)] = 1_000
--- a/cactusvane/slots/entry.py
+++ b/cactusvane/slots/entry.py
@@ -7,6 +7,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 from math import ceil
 from random import Random
@@ -50,6 +51,8 @@
     id: int
     deadline_ms: float
     tried: frozenset[Address]
+    idempotent: bool = False
+    excluded: frozenset[Address] = frozenset()
     tries: int = 0
     target: Address | None = None
     credit: int | None = None
@@ -63,6 +66,9 @@
     expires_ms: float
 
 
+Chooser = Callable[[Pending, float], Address | None]
+
+
 class EntrySlots:
     """Lets requests of one service through to its targets.
 
@@ -76,6 +82,8 @@
         Source of all random choices.
     settings
         Times and bounds.
+    chooser
+        Chooses the target of a request that goes without a credit, given the time.
     """
 
     def __init__(
@@ -84,7 +92,9 @@
         slots: int,
         random: Random,
         settings: SlotSettings | None = None,
+        chooser: Chooser | None = None,
     ) -> None:
+        self.chooser = chooser
         self.failure_domain = failure_domain
         self.slots = slots
         self.random = random
@@ -132,8 +142,9 @@
                 self.targets = {vm.address: vm for vm in targets}
             case FleetSized(entries):
                 self.entries = max(1, entries)
-            case Arrived(request, deadline_ms, tried):
-                commands.extend(self.arrive(Pending(request, deadline_ms, tried), now))
+            case Arrived(request, deadline_ms, tried, idempotent):
+                pending = Pending(request, deadline_ms, tried, idempotent, excluded=tried)
+                commands.extend(self.arrive(pending, now))
             case Ended(request, outcome, latency_ms):
                 commands.extend(self.end(request, outcome, latency_ms, now))
             case Withdrawn(request):
@@ -148,6 +159,11 @@
         commands.extend(self.ask(now))
         return tuple(commands)
 
+    @property
+    def waits(self) -> bool:
+        """Whether time has to pass for somebody here."""
+        return bool(self.queue) or self.awaited > self.answered
+
     def has_keeper(self, now: float) -> bool:
         """Say whether credits may be waited for."""
         return self.reachable and now >= self.late_until
@@ -155,9 +171,11 @@
     def arrive(self, pending: Pending, now: float) -> list[EntryCommand]:
         """Send a new request straight on, or let it wait."""
         if not self.queue and self.shed_share < self.settings.busy_share:
-            target = self.choose(pending.tried)
+            target = self.choose(pending, now)
             if target is not None:
                 return [self.dispatch(pending, target)]
+        if not self.targets.keys() - pending.tried:
+            return [Refuse(pending.id)]
         if len(self.queue) >= self.settings.queue or self.is_hopeless(pending, now):
             return [Refuse(pending.id)]
         self.queue.append(pending)
@@ -167,8 +185,11 @@
         """Say whether a request that starts now would end after its deadline."""
         return now + HEADROOM * self.latency_ms > pending.deadline_ms
 
-    def choose(self, tried: frozenset[Address]) -> Address | None:
-        """Choose a target by power of two choices, own failure domain first."""
+    def choose(self, pending: Pending, now: float) -> Address | None:
+        """Choose a target: as the pool says, or by power of two choices near first."""
+        if self.chooser is not None:
+            return self.chooser(pending, now)
+        tried = pending.tried
         near = [
             address
             for address, vm in self.targets.items()
@@ -217,10 +238,10 @@
             self.full.append(target)
         pending.tried |= {target}
         if pending.tries < self.settings.tries and self.shed_share < self.settings.busy_share:
-            other = self.choose(pending.tried)
+            other = self.choose(pending, now)
             if other is not None:
                 return [self.dispatch(pending, other)]
-        pending.tried = frozenset()
+        pending.tried = pending.excluded
         if not self.has_keeper(now):
             self.paused_until = now + self.settings.backoff_ms * self.random.uniform(0.5, 1.5)
         self.queue.appendleft(pending)
@@ -306,7 +327,7 @@
         """Start waiting requests up to the entry's share of all slots."""
         commands: list[EntryCommand] = []
         while self.queue and now >= self.paused_until and self.uncredited < self.share():
-            target = self.choose(self.queue[0].tried)
+            target = self.choose(self.queue[0], now)
             if target is None:
                 break
             commands.append(self.dispatch(self.queue.popleft(), target))
--- a/cactusvane/slots/keeper.py
+++ b/cactusvane/slots/keeper.py
@@ -72,8 +72,9 @@
 class Demand:
     """What one entry waits for."""
 
-    failure_domain: str
+    domain: str
     waiting: int
+    since_ms: float
     uses: tuple[Use, ...] = ()
 
 
@@ -145,6 +146,11 @@
             for entry, credits in granted.items()
         )
 
+    @property
+    def waits(self) -> bool:
+        """Whether an entry waits for a slot."""
+        return any(demand.waiting > 0 for demand in self.demands.values())
+
     def take_targets(self, targets: tuple[Vm, ...]) -> None:
         """Start to hand out new targets' slots, and stop for those gone."""
         known = self.limits
@@ -171,7 +177,9 @@
         else:
             self.count_uses(before.uses, -1)
         self.count_uses(ask.uses, 1)
-        self.demands[entry] = Demand(failure_domain, ask.waiting, ask.uses)
+        waits = before is not None and before.waiting > 0
+        since = before.since_ms if before is not None and waits else now
+        self.demands[entry] = Demand(failure_domain, ask.waiting, since, ask.uses)
 
     def count_uses(self, uses: tuple[Use, ...], sign: int) -> None:
         """Add or take away what an entry runs without credits."""
@@ -237,31 +245,39 @@
     def grant(self, now: float) -> dict[str, list[Credit]]:
         """Grant free slots to waiting entries, one at a time in turn."""
         granted: dict[str, list[Credit]] = {}
-        idle = 0
-        while self.turns and idle < len(self.turns):
-            entry = self.turns[0]
+        waiting = [entry for entry in self.turns if self.demands[entry].waiting > 0]
+        free = [limit for limit in self.limits.values() if limit.free(now) > 0]
+        while waiting and free:
+            entry, limit = self.match(waiting, free, now)
+            granted.setdefault(entry, []).append(self.lend(entry, limit, now))
+            self.turns.remove(entry)
+            self.turns.append(entry)
+            waiting.remove(entry)
             demand = self.demands[entry]
-            self.turns.rotate(-1)
-            if demand.waiting <= 0:
-                idle += 1
-                continue
-            limit = self.pick(demand.failure_domain, now)
-            if limit is None:
-                self.turns.rotate(1)
-                break
-            idle = 0
             demand.waiting -= 1
-            granted.setdefault(entry, []).append(self.lend(entry, limit, now))
+            demand.since_ms = now
+            if demand.waiting > 0:
+                waiting.append(entry)
+            if limit.free(now) <= 0:
+                free.remove(limit)
         return granted
 
-    def pick(self, failure_domain: str, now: float) -> Limit | None:
-        """Return the target with most free slots, in the entry's failure domain if there is one."""
-        free = [limit for limit in self.limits.values() if limit.free(now) > 0]
-        if not free:
-            return None
-        return max(
-            free, key=lambda limit: (limit.vm.failure_domain == failure_domain, limit.free(now))
-        )
+    def match(self, waiting: list[str], free: list[Limit], now: float) -> tuple[str, Limit]:
+        """Return who gets which slot next.
+
+        A slot that changes hands within its failure domain stands idle for less time, so the first
+        entry that is near a free slot goes first, unless one before it has waited for long.
+        """
+        domains = {limit.vm.failure_domain for limit in free}
+        entry = waiting[0]
+        for name in waiting:
+            demand = self.demands[name]
+            if now - demand.since_ms > self.settings.patience_ms or demand.domain in domains:
+                entry = name
+                break
+        domain = self.demands[entry].domain
+        limit = max(free, key=lambda each: (each.vm.failure_domain == domain, each.free(now)))
+        return entry, limit
 
     def lend(self, entry: str, limit: Limit, now: float) -> Credit:
         """Hand out one slot."""
--- a/cactusvane/slots/messages.py
+++ b/cactusvane/slots/messages.py
@@ -32,11 +32,14 @@
         Moment after which an answer is of no use.
     tried
         Targets that are not to be chosen.
+    idempotent
+        Whether the request may try a target that is on trial.
     """
 
     request: int
     deadline_ms: float
     tried: frozenset[Address] = frozenset()
+    idempotent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/cactusvane/slots/settings.py
+++ b/cactusvane/slots/settings.py
@@ -33,6 +33,8 @@
         How long a keeper passes over a target that shed.
     reclaim_ms
         How long after the lease a keeper counts an unreturned credit as in use.
+    patience_ms
+        An entry that has waited longer at the keeper goes before entries nearer to the slot.
     recover_ms
         Time in which a target's limit grows by one slot.
     slow_factor
@@ -51,5 +53,6 @@
     backoff_ms: float = 8.0
     full_ms: float = 6.0
     reclaim_ms: float = 500.0
+    patience_ms: float = 200.0
     recover_ms: float = 100.0
     slow_factor: float = 3.0
--- a/tests/fleet/net.py
+++ b/tests/fleet/net.py
@@ -4,7 +4,15 @@
 from random import Random
 
 from cactusvane.fleet.membership import Membership
-from cactusvane.fleet.messages import FleetCommand, Listed, Received, Send, Ticked
+from cactusvane.fleet.messages import (
+    FleetCommand,
+    HeadHeard,
+    HeadInForce,
+    Listed,
+    Received,
+    Send,
+    Ticked,
+)
 from cactusvane.fleet.vm import Address, Vm
 
 DOMAINS = ("Gobabis", "Witvlei", "Leonardville")
@@ -37,6 +45,9 @@
         queue = [(source, command) for command in commands]
         while queue:
             origin, command = queue.pop(0)
+            if isinstance(command, HeadHeard):
+                adopted = self.nodes[origin].handle(HeadInForce(command.head), self.now)
+                queue.extend((origin, each) for each in adopted)
             if not isinstance(command, Send) or self.cut(origin, command.to):
                 continue
             self.sent += 1
