Use target sockets without transports: proved first writes, verified spares, less work

A write that fails at once now proves that nothing was sent; through a transport it could not be told from one that was lost on the way. A spare is looked at (MSG_PEEK) right before use instead of being watched.

--- a/cactusvane/http/client.py
+++ b/cactusvane/http/client.py
@@ -1,6 +1,9 @@
 """The client side of HTTP: one exchange at a time on one connection, parsed by h11."""
 
 import asyncio
+import errno
+import os
+import socket
 from collections import deque
 
 import h11
@@ -13,6 +16,8 @@
 INTERIM_ANSWERS = 8
 """How many 1xx answers one exchange may bring."""
 
+READ_BYTES = 65_536
+
 BODILESS = frozenset({204, 304})
 """Statuses whose answers have no body."""
 
@@ -74,19 +79,28 @@
             self.connection.close()
 
 
-class ClientConnection(asyncio.Protocol):
-    """A connection to a target; after anything unexpected it closes and stays closed.
+class ClientConnection:
+    """A connected socket to a target; after anything unexpected it closes and stays closed.
+
+    The socket is used without a transport, since a failed first write then proves that nothing
+    was sent, and since a connection that carries one exchange need not be watched before it.
 
     Parameters
     ----------
+    sock
+        A connected socket that does not block.
     limits
         Bounds on the head of an answer and on what is held of its body.
     """
 
-    def __init__(self, limits: HttpLimits) -> None:
+    def __init__(self, sock: socket.socket, limits: HttpLimits) -> None:
+        self.sock = sock
         self.limits = limits
+        self.loop = asyncio.get_running_loop()
         self.parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=limits.head_bytes)
-        self.transport: asyncio.Transport | None = None
+        self.closed = False
+        self.reading = False
+        self.unsent = b""
         self.answered: asyncio.Future[Answer] | None = None
         self.method = ""
         self.interim = 0
@@ -97,13 +111,17 @@
 
     @property
     def open(self) -> bool:
-        """Whether the connection may carry another exchange."""
-        return (
-            self.transport is not None
-            and not self.transport.is_closing()
-            and self.answered is None
-            and self.parser.our_state is h11.IDLE
-        )
+        """Whether the connection may carry an exchange, as far as this side can see."""
+        if self.closed or self.parser.our_state is not h11.IDLE:
+            return False
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        self.close()
+        return False
 
     async def exchange(self, request: Request) -> Answer:
         """Send `request` and return the answer.
@@ -117,19 +135,45 @@
         BrokenAnswerError
             The request was written, and no whole answer came.
         """
-        if not self.open or self.transport is None:
+        if self.closed or self.parser.our_state is not h11.IDLE:
             raise ConnectError("the connection is closed")
         data = self.encode(request)
-        self.begin(request.method)
-        answered = self.answered
-        assert answered is not None
-        self.transport.write(data)
+        self.method = request.method
+        self.send_first(data)
+        self.answered = self.loop.create_future()
+        self.resume()
         try:
-            return await answered
+            return await self.answered
         except asyncio.CancelledError:
             self.close()
             raise
 
+    def send_first(self, data: bytes) -> None:
+        """Write the beginning of a request; a failure proves that nothing was sent."""
+        try:
+            sent = self.sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError as error:
+            self.close()
+            raise ConnectError(f"nothing could be sent: {error}") from error
+        if sent < len(data):
+            self.unsent = data[sent:]
+            self.loop.add_writer(self.sock.fileno(), self.send_rest)
+
+    def send_rest(self) -> None:
+        """Write more of the request, as much as the connection takes."""
+        try:
+            sent = self.sock.send(self.unsent)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self.fail(f"the request could not be sent whole: {error}")
+            return
+        self.unsent = self.unsent[sent:]
+        if not self.unsent:
+            self.loop.remove_writer(self.sock.fileno())
+
     def encode(self, request: Request) -> bytes:
         """Return the bytes of `request`, with a framing of our own."""
         headers = [*request.headers]
@@ -141,37 +185,18 @@
             data += self.parser.send(h11.Data(data=request.body)) or b""
         return data + (self.parser.send(h11.EndOfMessage()) or b"")
 
-    def begin(self, method: str) -> None:
-        """Forget the last exchange and expect the answer to a new one."""
-        self.answered = asyncio.get_running_loop().create_future()
-        self.method = method
-        self.interim = 0
-        self.head = None
-        self.parts = []
-        self.size = 0
-        self.stream = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-
-    def data_received(self, data: bytes) -> None:
-        """Parse what the target sent; bytes that nobody asked for close the connection."""
-        if self.answered is None and self.stream is None:
-            self.close()
+    def receive(self) -> None:
+        """Take what the target sent."""
+        try:
+            data = self.sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self.fail(f"the connection broke before the answer was whole: {error}")
             return
         self.parse(data)
-
-    def eof_received(self) -> bool:
-        """Parse the end of the target's side."""
-        if self.answered is not None or self.stream is not None:
-            self.parse(b"")
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Fail the exchange in progress, if any."""
-        self.fail("the connection closed before the answer was whole")
+        if not data:
+            self.fail("the connection closed before the answer was whole")
 
     def parse(self, data: bytes) -> None:
         """Feed `data` to the parser and act on what it finds."""
@@ -259,15 +284,10 @@
         )
 
     def finish(self) -> None:
-        """Deliver the whole answer; keep the connection only if it is certainly clean."""
+        """Deliver the whole answer; the connection has done its work."""
         stream = self.stream
         self.stream = None
-        done = self.parser.our_state is h11.DONE and self.parser.their_state is h11.DONE
-        if done and not self.parser.trailing_data[0]:
-            self.parser.start_next_cycle()
-            self.resume()
-        else:
-            self.close()
+        self.close()
         if stream:
             stream.finish()
         else:
@@ -286,18 +306,55 @@
 
     def pause(self) -> None:
         """Stop reading from the target."""
-        if self.transport and not self.transport.is_closing():
-            self.transport.pause_reading()
+        if self.reading:
+            self.reading = False
+            self.loop.remove_reader(self.sock.fileno())
 
     def resume(self) -> None:
         """Read from the target again."""
-        if self.transport and not self.transport.is_closing():
-            self.transport.resume_reading()
+        if not self.reading and not self.closed:
+            self.reading = True
+            self.loop.add_reader(self.sock.fileno(), self.receive)
 
     def close(self) -> None:
         """Close at once; nothing that was not sent yet will be."""
-        if self.transport and not self.transport.is_closing():
-            self.transport.abort()
+        if self.closed:
+            return
+        self.pause()
+        self.loop.remove_writer(self.sock.fileno())
+        self.closed = True
+        self.sock.close()
+
+
+def start_connecting(address: Address) -> socket.socket:
+    """Return a socket that is connecting to `address` and does not block.
+
+    Raises
+    ------
+    ConnectError
+        The peer cannot be reached.
+    """
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        code = sock.connect_ex((address.host, address.port))
+    except OSError as error:
+        sock.close()
+        raise ConnectError(f"{address}: {error}") from error
+    if code not in (0, errno.EINPROGRESS):
+        sock.close()
+        raise ConnectError(f"{address}: {os.strerror(code)}")
+    return sock
+
+
+def check_connected(sock: socket.socket, address: Address) -> None:
+    """Raise `ConnectError` and close the socket if connecting failed."""
+    code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if code:
+        sock.close()
+        raise ConnectError(f"{address}: {os.strerror(code)}")
 
 
 async def connect(address: Address, limits: HttpLimits) -> ClientConnection:
@@ -309,13 +366,24 @@
         The peer cannot be reached.
     """
     loop = asyncio.get_running_loop()
+    sock = start_connecting(address)
+    writable = loop.create_future()
+    loop.add_writer(sock.fileno(), set_once, writable)
     try:
-        _, connection = await loop.create_connection(
-            lambda: ClientConnection(limits), address.host, address.port
-        )
-    except OSError as error:
-        raise ConnectError(f"{address}: {error}") from error
-    return connection
+        await writable
+    except asyncio.CancelledError:
+        loop.remove_writer(sock.fileno())
+        sock.close()
+        raise
+    loop.remove_writer(sock.fileno())
+    check_connected(sock, address)
+    return ClientConnection(sock, limits)
+
+
+def set_once(future: "asyncio.Future[None]") -> None:
+    """Complete `future` unless it is complete."""
+    if not future.done():
+        future.set_result(None)
 
 
 async def fetch(
--- a/cactusvane/http/connection.py
+++ b/cactusvane/http/connection.py
@@ -5,13 +5,20 @@
 """
 
 import asyncio
+import socket
 from collections import deque
 from dataclasses import dataclass, field
+from math import inf
 
 from cactusvane.clock import MS_PER_SECOND, Clock
 from cactusvane.errors import ConnectError
 from cactusvane.fleet.vm import Address
-from cactusvane.http.client import ClientConnection, connect
+from cactusvane.http.client import (
+    ClientConnection,
+    check_connected,
+    connect,
+    start_connecting,
+)
 from cactusvane.settings import HttpLimits
 
 MOST_SPARES = 4
@@ -49,7 +56,7 @@
     wanted
         How many spares to hold.
     opening
-        How many spares are being opened.
+        Sockets that are connecting, and since when, in milliseconds.
     refilling
         Whether spares are about to be opened.
     used
@@ -58,7 +65,7 @@
 
     spares: deque[Spare] = field(default_factory=deque)
     wanted: int = 1
-    opening: int = 0
+    opening: dict[socket.socket, float] = field(default_factory=dict)
     refilling: bool = False
     used: float = 0.0
 
@@ -110,7 +117,6 @@
         self.clock = clock
         self.targets: dict[Address, TargetState] = {}
         self.most_spares: dict[Address, int] = {}
-        self.tasks: set[asyncio.Task[None]] = set()
 
     async def take(self, target: Address, verified: bool) -> ClientConnection:
         """Return an open connection to `target`.
@@ -164,8 +170,9 @@
         """Open spares after `REFILL_MS`."""
         if not state.refilling:
             state.refilling = True
-            loop = asyncio.get_running_loop()
-            loop.call_later(REFILL_MS / MS_PER_SECOND, self.refill, target, state)
+            asyncio.get_running_loop().call_later(
+                REFILL_MS / MS_PER_SECOND, self.refill, target, state
+            )
 
     def refill(self, target: Address, state: TargetState) -> None:
         """Open spares in the background until there are as many as wanted."""
@@ -173,29 +180,39 @@
         if self.targets.get(target) is not state:
             return
         state.wanted = min(state.wanted, self.most_spares.get(target, MOST_SPARES))
-        while len(state.spares) + state.opening < state.wanted:
-            state.opening += 1
-            task = asyncio.get_running_loop().create_task(self.open_spare(target, state))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-
-    async def open_spare(self, target: Address, state: TargetState) -> None:
-        """Open one spare; a target that cannot be reached gets none."""
+        while len(state.spares) + len(state.opening) < state.wanted:
+            try:
+                sock = start_connecting(target)
+            except ConnectError:
+                return
+            state.opening[sock] = self.clock.now()
+            asyncio.get_running_loop().add_writer(
+                sock.fileno(), self.connected, target, state, sock
+            )
+
+    def connected(self, target: Address, state: TargetState, sock: socket.socket) -> None:
+        """Hold a spare that is connected; a target that cannot be reached gets none."""
+        asyncio.get_running_loop().remove_writer(sock.fileno())
+        del state.opening[sock]
         try:
-            connection = await self.open(target)
+            check_connected(sock, target)
         except ConnectError:
             return
-        finally:
-            state.opening -= 1
-        if self.targets.get(target) is state:
-            state.spares.append(Spare(connection, self.clock.now()))
-        else:
-            connection.close()
+        state.spares.append(Spare(ClientConnection(sock, self.limits), self.clock.now()))
+
+    def give_up(self, state: TargetState, opened_before: float) -> None:
+        """Close sockets that have been connecting for too long."""
+        for sock, since in tuple(state.opening.items()):
+            if since < opened_before:
+                del state.opening[sock]
+                asyncio.get_running_loop().remove_writer(sock.fileno())
+                sock.close()
 
     def close_idle(self, target: Address) -> None:
         """Close the unused connections to `target`."""
         state = self.targets.pop(target, None)
         if state:
+            self.give_up(state, inf)
             for spare in state.spares:
                 spare.connection.close()
 
@@ -203,6 +220,7 @@
         """Close spares that have grown old; forget targets that are no longer used."""
         now = self.clock.now()
         for target, state in tuple(self.targets.items()):
+            self.give_up(state, now - CONNECT_MS)
             while state.spares and state.spares[0].opened < now - SPARE_MS:
                 state.spares.popleft().connection.close()
                 state.wanted = max(1, state.wanted - 1)
