Scale the burn plot to what was seen and break it where figures are missing

Cause: seen in a browser, a loss of a tenth of a percent was invisible and gaps were drawn over. Change: the axis starts at the lowest share, at 99% at most; a gap starts a new line.

--- a/cactusvane/report/page.py
+++ b/cactusvane/report/page.py
@@ -5,15 +5,18 @@
 
 from cactusvane.clock import MS_PER_SECOND
 from cactusvane.report.burn import Alarm, BurnReport, KindBurn, SeriesPoint, ServiceBurn
+from cactusvane.report.ledger import BUCKET_MS
 
 PLOT_WIDTH = 640
 PLOT_HEIGHT = 120
-MARGIN = 30
+MARGIN = 44
+AXIS_START = 0.99
 
 STYLE = """
 body { font: 15px/1.5 sans-serif; margin: 2em auto; max-width: 60em; color: #222; }
 table { border-collapse: collapse; margin: 0.5em 0; }
-th, td { padding: 0.25em 0.8em; border-bottom: 1px solid #ddd; text-align: right; }
+th, td { padding: 0.25em 0.8em; border-bottom: 1px solid #ddd; text-align: right;
+  white-space: nowrap; }
 th:first-child, td:first-child { text-align: left; }
 .fast { background: #f6c9c4; } .slow { background: #fbe8b4; }
 .gap { background: #fbe8b4; padding: 0.4em 0.8em; }
@@ -96,25 +99,38 @@
 
 
 def plot(points: tuple[SeriesPoint, ...]) -> str:
-    """Return an SVG line of the share in good order over time, from 0 to 100 percent."""
-    if len(points) < 2:
+    """Return an SVG line of the share in good order over time, broken where figures are missing.
+
+    The axis starts at the lowest share, or at `AXIS_START` where that is lower.
+    """
+    drawn = [point for point in points if point.total]
+    if len(drawn) < 2:
         return "<p>Too few figures for a plot.</p>"
-    first, last = points[0].start_ms, points[-1].start_ms
-    across = (PLOT_WIDTH - 2 * MARGIN) / (last - first)
-    down = PLOT_HEIGHT - 2 * MARGIN
-    steps = [
-        f"{MARGIN + (point.start_ms - first) * across:.1f},"
-        f"{MARGIN + (1.0 - point.good / point.total) * down:.1f}"
-        for point in points
-        if point.total
-    ]
+    first, last = drawn[0].start_ms, drawn[-1].start_ms
+    lowest = min(AXIS_START, min(point.good / point.total for point in drawn))
     base = PLOT_HEIGHT - MARGIN
     return (
         f'<svg width="{PLOT_WIDTH}" height="{PLOT_HEIGHT}" xmlns="http://www.w3.org/2000/svg">'
         f'<line x1="{MARGIN}" y1="{MARGIN}" x2="{PLOT_WIDTH - MARGIN}" y2="{MARGIN}"/>'
         f'<line x1="{MARGIN}" y1="{base}" x2="{PLOT_WIDTH - MARGIN}" y2="{base}"/>'
-        f'<text x="0" y="{MARGIN + 4}">100%</text><text x="8" y="{base + 4}">0%</text>'
+        f'<text x="4" y="{MARGIN + 4}">100%</text><text x="4" y="{base + 4}">{lowest:.1%}</text>'
         f'<text x="{MARGIN}" y="{PLOT_HEIGHT - 8}">{moment(first)}</text>'
         f'<text x="{PLOT_WIDTH - 150}" y="{PLOT_HEIGHT - 8}">{moment(last)}</text>'
-        f'<path d="M{" L".join(steps)}"/></svg>'
+        f'<path d="{path(drawn, lowest)}"/></svg>'
     )
+
+
+def path(points: list[SeriesPoint], lowest: float) -> str:
+    """Return the SVG path through points, with a new start after each gap."""
+    first, last = points[0].start_ms, points[-1].start_ms
+    across = (PLOT_WIDTH - 2 * MARGIN) / (last - first)
+    down = (PLOT_HEIGHT - 2 * MARGIN) / (1.0 - lowest)
+    steps = []
+    previous = first - 2 * BUCKET_MS
+    for point in points:
+        move = "L" if point.start_ms - previous <= BUCKET_MS else "M"
+        x = MARGIN + (point.start_ms - first) * across
+        y = MARGIN + (1.0 - point.good / point.total) * down
+        steps.append(f"{move}{x:.1f},{y:.1f}")
+        previous = point.start_ms
+    return " ".join(steps)
