Claim idempotency keys before their requests are sent

A repeat at another VM must not run a booking twice. Taking over a lapsed claim was ruled out: the holder may have sent the request before it paused, and nothing in the table tells. So a claim ends only by a recorded outcome or by a proof that the request has not run.

--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -50,6 +50,10 @@
     KEEPER_CHANGED = EventKind(1402, logging.INFO, "{service}: {vm} is the keeper")
     LISTED_BY_PEER = EventKind(1403, logging.INFO, "took the VM list from another VM: {vms} VMs")
 
+    CLAIM_BUDGET_SPENT = EventKind(1501, logging.WARNING, "no write is left for the claim {key}")
+    CLAIM_OUTCOME_DROPPED = EventKind(
+        1502, logging.ERROR, "too many writes wait; the outcome of {key} is not recorded"
+    )
     CONFIGURATION_ADOPTED = EventKind(1601, logging.INFO, "version {version} is in force")
     CONFIGURATION_REJECTED = EventKind(
         1602, logging.WARNING, "version {version} was not taken: {reason}"
