Run keyed requests under a claim

The entry claims the key before it chooses a target, checks the lease right before each sending, and records the outcome after the answer, off the caller's way. Nonces come from the system's randomness: a restarted process with the same seed would take another's claim for its own.

--- a/cactusvane/daemon.py
+++ b/cactusvane/daemon.py
@@ -12,11 +12,12 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
-from random import Random
+from random import Random, SystemRandom
 
 import msgspec
 
 from cactusvane import events
+from cactusvane.claims.claims import Claims
 from cactusvane.clock import MS_PER_SECOND, Clock
 from cactusvane.configuration.follow import Follower
 from cactusvane.configuration.model import Configuration
@@ -46,6 +47,9 @@
 LEAVING_MS = 2_000
 """How long a stopping daemon still takes requests, so that balancer and callers move on first."""
 
+CLAIM_TIMEOUT_MS = 1_000
+"""How long one exchange about a claim may take before the table counts as silent."""
+
 USAGE_ERROR = 2
 GC_THRESHOLD = 50_000
 """Allocations between garbage collections; requests leave few cycles behind."""
@@ -128,6 +132,9 @@
         self.recorder = Recorder()
         self.entry = Entry(settings, self.clock, Random(settings.seed), self.recorder)
         self.platform = HttpPlatform(settings.platform)
+        claim_table = HttpPlatform(settings.platform, CLAIM_TIMEOUT_MS)
+        self.claims = Claims(claim_table, self.clock, SystemRandom(), settings.vm)
+        self.entry.claims = self.claims
         self.follower = Follower(settings, self.platform, self.clock)
         self.follower.on_change.append(self.change_configuration)
         self.node = Node(settings, self.clock, self.entry, self.follower)
@@ -192,6 +199,7 @@
             return
         self.entry.list_vms(vms)
         self.node.list_vms(vms)
+        self.share_budgets(sum(not vm.service for vm in vms))
         self.listed = True
         self.note_ready()
 
@@ -199,6 +207,11 @@
         """Store what the burn report needs, as far as it is over."""
         await flush(self.entry.ledger, self.platform, self.clock.wall())
 
+    def share_budgets(self, vms: int) -> None:
+        """Take this VM's share of what the fleet of `vms` may ask of the platform."""
+        self.follower.vms = max(1, vms)
+        self.claims.budget.vms = max(1, vms)
+
     async def tick(self) -> None:
         """Let time pass."""
         self.entry.tick()
--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from cactusvane import events
+from cactusvane.claims.claims import Claims, Held
 from cactusvane.clock import MS_PER_SECOND, Clock
 from cactusvane.configuration.model import Configuration, Service
 from cactusvane.configuration.routes import Match, RoutingTable
@@ -19,6 +20,7 @@
 from cactusvane.http.message import Answer, Request, end_to_end
 from cactusvane.http.server import VERDICT_HEADER, Caller
 from cactusvane.http.stream import RelayedStream
+from cactusvane.keyed import Keyed, find_key, run_keyed
 from cactusvane.metrics import KindRecord, Recorder
 from cactusvane.pool.messages import (
     AttemptEnded,
@@ -116,6 +118,7 @@
         self.random = random
         self.recorder = recorder
         self.connections = TargetConnections(settings.http, clock)
+        self.claims: Claims | None = None
         self.ledger = Ledger(settings.vm)
         self.table = RoutingTable(Configuration())
         self.services: dict[str, ServiceState] = {}
@@ -264,7 +267,12 @@
             task = asyncio.current_task()
             caller.on_gone = task.cancel if task else None
         journey = Journey(self, match, request)
-        return await journey.run()
+        key = None if match.route.idempotent else find_key(request)
+        if key is None or self.claims is None:
+            return await journey.run()
+        return await journey.run_keyed(
+            self.claims, Keyed(match.service, request, key, journey.time_ms)
+        )
 
 
 def deadline_ms(request: Request, match: Match) -> float:
@@ -301,8 +309,9 @@
         self.started = self.clock.now()
         self.at_targets = 0.0
         self.record: KindRecord = entry.recorder.kind(match.service.name, match.route.kind)
-        deadline = deadline_ms(request, match)
-        self.attempts = Attempts(match.route, deadline, self.state.budget, self.started)
+        self.time_ms = deadline_ms(request, match)
+        self.attempts = Attempts(match.route, self.time_ms, self.state.budget, self.started)
+        self.held: Held | None = None
         self.tried: frozenset[Address] = frozenset()
         self.answer: Answer | None = None
         self.ticket: Ticket | None = None
@@ -326,6 +335,23 @@
                 self.count(status, verdict)
                 raise RequestError(status, code, text, verdict)
 
+    async def run_keyed(self, claims: Claims, keyed: Keyed) -> Answer:
+        """Send the request under a claim of its key."""
+
+        async def run(held: Held) -> Answer:
+            self.held = held
+            return await self.run()
+
+        try:
+            answer = await run_keyed(claims, keyed, run)
+        except RequestError as error:
+            if self.held is None:
+                self.count(error.status, error.verdict)
+            raise
+        if self.held is None:
+            self.count(answer.status, Verdict.RAN)
+        return answer
+
     def count(self, status: int, verdict: Verdict) -> None:
         """Record what the caller is told."""
         total = self.clock.now() - self.started
@@ -397,6 +423,9 @@
             async with asyncio.timeout(command.timeout_ms / MS_PER_SECOND):
                 verified = not self.route.idempotent
                 connection = await self.entry.connections.take(address, verified)
+                if self.held and not self.held.may_send(self.clock.now()):
+                    connection.close()
+                    return Lost(Outcome.CANCELLED, Verdict.NOT_RUN, "the claim's lease is over")
                 remaining = command.remaining_ms - (self.clock.now() - started)
                 answer = await connection.exchange(self.outgoing(remaining))
         except ConnectError as error:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cactusvane.claims.claims import Claims
 from cactusvane.clock import Clock
 from cactusvane.configuration.model import Configuration, Route, Service
 from cactusvane.entry import Entry
@@ -18,6 +19,7 @@
 from cactusvane.metrics import Recorder
 from cactusvane.settings import HttpLimits, Settings
 from cactusvane.verdict import Verdict
+from tests.fakes import FakePlatform
 
 ANY = Address("127.0.0.1", 0)
 LIMITS = HttpLimits(buffer_bytes=2_000, body_bytes=1_000_000, body_ms=500)
@@ -229,3 +231,48 @@
     if call[0] == "POST":
         said_no = sum(reply in (SHED, DRAINING) for reply in replies)
         assert len(received) <= said_no + 1
+
+
+def keyed(replies: list[bytes], times: int, *extra: tuple[bytes, bytes]) -> list[Answer]:
+    async def run() -> list[Answer]:
+        entry, server, address, targets = await started(replies)
+        entry.claims = Claims(FakePlatform(), Clock(), Random(1), "vm-1")
+        headers = [(b"host", b"a"), (b"idempotency-key", b"k"), *extra]
+        answers = [
+            await fetch(address, "POST", "/book", headers, b"", 5_000, LIMITS) for _ in range(times)
+        ]
+        await server.drain(1_000)
+        entry.connections.close()
+        for each in targets.servers:
+            each.close()
+        answers.append(Answer(len(targets.received)))
+        return answers
+
+    return asyncio.run(run())
+
+
+def test_a_repeated_key_runs_once_and_is_answered_alike() -> None:
+    first, repeat, received = keyed([OK], 2)
+    assert received.status == 1
+    assert (first.status, first.body) == (repeat.status, repeat.body) == (200, b"hi")
+    assert repeat.header(b"cactusvane-replayed") == b"1"
+    verdicts = [value for name, value in repeat.headers if name == b"cactusvane-verdict"]
+    assert verdicts == [b"ran"]
+
+
+def test_a_key_that_may_have_run_is_not_run_again() -> None:
+    first, repeat, received = keyed([CUT], 2)
+    assert received.status == 1
+    assert (first.status, repeat.status) == (502, 409)
+    assert repeat.header(b"cactusvane-verdict") == b"may-have-run"
+
+
+def test_a_key_that_was_not_run_may_be_repeated() -> None:
+    first, repeat, received = keyed([SHED, SHED, OK], 2)
+    assert first.header(b"cactusvane-verdict") == b"not-run"
+    assert (repeat.status, received.status) == (200, 3)
+
+
+def test_two_keys_are_refused() -> None:
+    answer, received = keyed([], 1, (b"idempotency-key", b"l"))
+    assert (answer.status, received.status) == (400, 0)
