--- a/tests/configuration/test_versions.py
+++ b/tests/configuration/test_versions.py
@@ -1,6 +1,6 @@
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from cactusvane.configuration.digest import digest
 from cactusvane.configuration.model import Head
@@ -15,7 +15,7 @@
 )
 
 DOMAINS = ("Estrie", "Montérégie", "Beauce")
-VMS = st.integers(0, 5)
+VMS = st.integers(0, 2)
 
 
 def stored(version: int) -> bytes:
@@ -32,9 +32,9 @@
     def __init__(self) -> None:
         super().__init__()
         self.accepted = 1
-        self.vms = [Versions() for _ in range(6)]
-        self.seen = [0] * 6
-        self.wanted: list[list[Head]] = [[] for _ in range(6)]
+        self.vms = [Versions() for _ in range(3)]
+        self.seen = [0] * 3
+        self.wanted: list[list[Head]] = [[] for _ in range(3)]
 
     def pass_on(self, vm: int, event: HeadRead | HeadOffered | ObjectRead) -> None:
         for command in self.vms[vm].handle(event):
@@ -63,15 +63,21 @@
         if offered:
             self.pass_on(vm, HeadOffered(offered, DOMAINS[peer % 3]))
 
-    @rule(vm=VMS, kind=st.sampled_from(["right", "false", "none"]))
-    def end_fetch(self, vm: int, kind: str) -> None:
-        if self.wanted[vm]:
-            wanted = self.wanted[vm].pop(0)
-            data = {"right": stored(wanted.version), "false": b"x", "none": None}[kind]
-            self.pass_on(vm, ObjectRead(wanted, data))
-
-    @rule(vm=VMS)
-    def restart(self, vm: int) -> None:
+    @precondition(lambda self: any(self.wanted))
+    @rule(
+        turn=st.integers(0, 5), kind=st.sampled_from(["right", "right", "right", "false", "none"])
+    )
+    def end_fetch(self, turn: int, kind: str) -> None:
+        fetching = [(vm, wanted) for vm in range(3) for wanted in self.wanted[vm]]
+        vm, wanted = fetching[turn % len(fetching)]
+        self.wanted[vm].remove(wanted)
+        data = {"right": stored(wanted.version), "false": b"x", "none": None}[kind]
+        self.pass_on(vm, ObjectRead(wanted, data))
+
+    @rule(vm=VMS, really=st.integers(0, 4))
+    def restart(self, vm: int, really: int) -> None:
+        if really:
+            return
         self.vms[vm] = Versions()
         self.seen[vm] = 0
         self.wanted[vm] = []
