--- a/tests/claims/test_claims.py
+++ b/tests/claims/test_claims.py
@@ -82,6 +82,21 @@
     run(check)
 
 
+def test_a_release_that_comes_late_leaves_the_next_claim_alone(run):
+    async def check(platform, at):
+        one, two = at("vm-1"), at("vm-2")
+        held = await hold(one)
+        platform.faults = Faults(lose_answers=1)
+        one.end(held, Verdict.NOT_RUN, None)
+        while platform.faults.lose_answers:
+            await asyncio.sleep(0)
+        await hold(two)
+        await written(one)
+        assert (await refusal(at("vm-3"))).verdict is Verdict.MAY_HAVE_RUN
+
+    run(check)
+
+
 def test_a_key_that_may_have_run_stays_claimed(run):
     async def check(platform, at):
         one, two = at("vm-1"), at("vm-2")
