Assign keepers in the node by what changed

Cause: the node still looked at every VM for each service on each change of the fleet (7 to 9 ms a service among 5,700 VMs).

--- a/cactusvane/peers/node.py
+++ b/cactusvane/peers/node.py
@@ -11,6 +11,7 @@
 from cactusvane.configuration.model import Configuration, Head
 from cactusvane.entry import Entry
 from cactusvane.events import Event
+from cactusvane.fleet.assignment import Assignment
 from cactusvane.fleet.cells import keepers
 from cactusvane.fleet.membership import Membership
 from cactusvane.fleet.messages import (
@@ -87,6 +88,7 @@
         self.gossiper = Gossiper(self.channels, self.receive)
         self.server = PeerServer(self)
         self.cells: dict[str, Cell] = {}
+        self.assignment = Assignment()
         self.keepers: dict[str, Vm] = {}
         self.links: dict[Address, KeeperLink] = {}
         self.entries: dict[str, EntryLink] = {}
@@ -284,11 +286,10 @@
             events.write(Event.FLEET_CHANGED, vms=len(live))
         self.follower.vms = len(live)
         before = self.keepers
-        self.keepers = {}
-        for name in self.entry.services:
-            ranked = keepers(name, live)
-            if ranked:
-                self.keepers[name] = ranked[0]
+        self.assignment.set_vms(live)
+        self.assignment.set_cells(self.entry.services)
+        ranked = self.assignment.keepers
+        self.keepers = {name: chosen[0] for name, chosen in ranked.items() if chosen}
         self.assign_cells()
         self.assign_links()
         for name, state in self.entry.services.items():
