Tell only the pools concerned of a new VM list or configuration

Cause: each list, once a second, was filtered anew for every service and told to every pool, and each change of one service was told to all: work that grows with services times targets. Change: the list is grouped once; a pool hears of it where its own part differs, and of a configuration where its own file does. The new test failed first, with every pool told every time.

--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -122,22 +122,29 @@
         self.ledger = Ledger(settings.vm)
         self.table = RoutingTable(Configuration())
         self.services: dict[str, ServiceState] = {}
-        self.vms: tuple[Vm, ...] = ()
+        self.entries = 0
+        self.listed: dict[str, tuple[Vm, ...]] = {}
         self.report: Callable[[ReportEvidence], None] | None = None
         self.cut_off: set[str] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
     def configure(self, configuration: Configuration) -> None:
-        """Put a configuration in force; services that stay keep what is known of their targets."""
+        """Put a configuration in force; services that did not change are not touched."""
+        before = self.table.services.copy()
         self.table.replace(configuration)
-        states = {service.name: self.state(service) for service in configuration.services}
-        self.services = states
+        names = {service.name for service in configuration.services}
+        self.services = {name: self.services[name] for name in self.services if name in names}
         for service in configuration.services:
-            self.show_targets(service.name)
-            for text in service.leaving.targets:
-                host, _, port = text.rpartition(":")
-                notice = LeavingNoticed(Address(host, int(port)), NoticeSource.FILE)
-                self.tell(states[service.name].pool, notice)
+            if before.get(service.name) != service:
+                self.change_service(service)
+
+    def change_service(self, service: Service) -> None:
+        """Put one service's file in force; what is known of its targets stays."""
+        state = self.services[service.name] = self.state(service)
+        self.show_targets(service.name)
+        for text in service.leaving.targets:
+            host, _, port = text.rpartition(":")
+            self.tell(state.pool, LeavingNoticed(Address(host, int(port)), NoticeSource.FILE))
 
     def state(self, service: Service) -> ServiceState:
         """Return the state of `service`, new or carried on."""
@@ -161,21 +168,22 @@
         return ServiceState(pool, RetryBudget(), Gate(slots, self.clock))
 
     def list_vms(self, vms: tuple[Vm, ...]) -> None:
-        """Take in the platform's VM list."""
-        self.vms = vms
+        """Take in the platform's VM list; pools hear of it where it differs from the last one."""
+        before, self.listed = self.listed, group_by_service(vms)
+        entries_before, self.entries = self.entries, len(self.listed.get("", ()))
         for name in self.services:
-            self.show_targets(name)
+            if before.get(name) != self.listed.get(name) or entries_before != self.entries:
+                self.show_targets(name)
 
     def show_targets(self, name: str) -> None:
         """Tell the pool of a service what the VM list shows of it."""
-        targets = tuple(vm for vm in self.vms if vm.service == name)
+        targets = self.listed.get(name, ())
         self.allow_spares(self.services[name].pool.service, targets)
         self.tell(self.services[name].pool, TargetsListed(targets))
 
     def allow_spares(self, service: Service, targets: tuple[Vm, ...]) -> None:
         """Keep this entry's unused connections within its share of the targets' limit."""
-        entries = sum(not vm.service for vm in self.vms)
-        allowed = spares_allowed(service.connections, entries, service.slots)
+        allowed = spares_allowed(service.connections, self.entries, service.slots)
         for vm in targets:
             self.connections.most_spares[vm.address] = allowed
 
@@ -275,6 +283,14 @@
         )
 
 
+def group_by_service(vms: tuple[Vm, ...]) -> dict[str, tuple[Vm, ...]]:
+    """Return the VMs of a list by service, the fleet's own under an empty name."""
+    groups: dict[str, list[Vm]] = {}
+    for vm in vms:
+        groups.setdefault(vm.service, []).append(vm)
+    return {name: tuple(group) for name, group in groups.items()}
+
+
 def deadline_ms(request: Request, match: Match) -> float:
     """Return the time that a request has; the caller may shorten the route's deadline."""
     text = request.header(DEADLINE_HEADER)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,6 +1,7 @@
 """The entry with scripted targets on loopback."""
 
 import asyncio
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -8,7 +9,7 @@
 from hypothesis import strategies as st
 
 from cactusvane.claims.claims import Claims
-from cactusvane.clock import Clock
+from cactusvane.clock import Clock, ManualClock
 from cactusvane.configuration.model import Configuration, Route, Service
 from cactusvane.entry import Entry
 from cactusvane.errors import BrokenAnswerError
@@ -17,6 +18,8 @@
 from cactusvane.http.message import Answer
 from cactusvane.http.server import Server
 from cactusvane.metrics import Recorder
+from cactusvane.pool.messages import PoolCommand, PoolEvent, TargetsListed
+from cactusvane.pool.pool import Pool
 from cactusvane.settings import HttpLimits, Settings
 from cactusvane.verdict import Verdict
 from tests.fakes import FakePlatform
@@ -278,3 +281,24 @@
 def test_two_keys_are_refused() -> None:
     answer, received = keyed([], 1, (b"idempotency-key", b"l"))
     assert (answer.status, received.status) == (400, 0)
+
+
+def test_only_the_services_that_changed_hear_of_a_list_or_a_file(monkeypatch):
+    told: list[tuple[str, type]] = []
+    entry = Entry(SETTINGS, ManualClock(), Random(1), Recorder())
+    records, booking = SERVICE, replace(SERVICE, name="booking", hosts=("b",))
+    entry.configure(Configuration((records, booking)))
+    handle = Pool.handle
+
+    def spy(pool: Pool, event: PoolEvent, now: float) -> tuple[PoolCommand, ...]:
+        told.append((pool.service.name, type(event)))
+        return handle(pool, event, now)
+
+    monkeypatch.setattr(Pool, "handle", spy)
+    target = Vm("target-1", Address("127.0.0.1", 9), "Gobabis", service="records")
+    entry.list_vms((target,))
+    entry.list_vms((target,))
+    assert told == [("records", TargetsListed)]
+    told.clear()
+    entry.configure(Configuration((records, replace(booking, floor=2))))
+    assert {name for name, _ in told} == {"booking"}
