--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -168,7 +168,11 @@
         path.write_bytes(msgspec.json.encode(values))
         process = self.start(name, listen, "cactusvane.daemon", str(path))
         process.admin = admin
-        process.listed = {**vm(name, listen, failure_domain, ""), "peer": at(peer)}
+        process.listed = {
+            **vm(name, listen, failure_domain, ""),
+            "peer": at(peer),
+            "admin": at(admin),
+        }
         self.entries[name] = process
         with suppress(OSError):
             await self.register(process.listed)
