--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -26,6 +26,8 @@
 POLL_SECONDS = 0.05
 BALANCER_SECONDS = 0.5
 
+Completed = subprocess.CompletedProcess[str]
+
 taken_ports: set[int] = set()
 port_draws = random.Random(os.getpid())
 
@@ -162,6 +164,7 @@
             "peer": at(peer),
             "admin": at(admin),
             "platform": at(self.platform_port),
+            "peers": [entry.listed["peer"] for entry in self.entries.values()],
             "seed": len(self.entries),
             **settings,
         }
@@ -230,20 +233,24 @@
             self.processes[name].send(signal.SIGCONT)
             self.disturbances.append(Disturbance(name, start, time.time() + 1.0))
 
+    def notice(self, name: str) -> None:
+        """Note that a process has been told to stop in an orderly way."""
+        self.stops.append(PlannedStop(name, time.time()))
+
     async def leave_by_list(self, target: str) -> None:
         """Mark a target as leaving on the VM list."""
-        self.stops.append(PlannedStop(target, time.time()))
+        self.notice(target)
         await self.register({**self.targets[target].listed, "state": "leaving"})
 
     async def leave_by_answer(self, target: str) -> None:
         """Let a target say itself that it is leaving."""
-        self.stops.append(PlannedStop(target, time.time()))
+        self.notice(target)
         await self.behave(target, draining=True)
 
     async def stop(self, name: str) -> int:
         """Stop a process with SIGTERM and return its exit code."""
         if name in self.entries:
-            self.stops.append(PlannedStop(name, time.time()))
+            self.notice(name)
             self.in_balancer.pop(name, None)
         process = self.processes[name]
         process.send(signal.SIGTERM)
@@ -267,18 +274,21 @@
         """Read the targets' ledgers."""
         return read_ledgers(self.directory)
 
-    async def publish(self, directory: Path, *options: str) -> "subprocess.CompletedProcess[str]":
+    async def publish(self, directory: Path, *options: str) -> Completed:
         """Publish a directory of operators' files with the command line."""
+        return await self.command("publish", str(directory), *options)
+
+    async def command(self, *arguments: str) -> Completed:
+        """Run the operators' command line against this platform."""
         platform = f"127.0.0.1:{self.platform_port}"
-        arguments = ["publish", str(directory), "--platform", platform, *options]
-        return await asyncio.to_thread(run_command, arguments)
+        return await asyncio.to_thread(run_command, [*arguments, "--platform", platform])
 
     async def status(self, entry: str) -> Reply:
         """Read an entry's status page."""
         return await ask(self.entries[entry].admin, "GET", "/status")
 
 
-def run_command(arguments: list[str]) -> "subprocess.CompletedProcess[str]":
+def run_command(arguments: list[str]) -> Completed:
     """Run the command line and return its exit code and output."""
     command = [sys.executable, "-m", "cactusvane.ui", *arguments]
     return subprocess.run(
--- a/tests/processes/services.py
+++ b/tests/processes/services.py
@@ -57,7 +57,9 @@
 def example(name: str, most_targets: int) -> tuple[ServiceFile, ...]:
     """Read ``examples/NAME`` with at most so many targets a service, floors in proportion."""
     files = sorted((ROOT / "examples" / name).glob("*.json"))
-    decoded = [msgspec.json.decode(path.read_bytes()) for path in files]
+    decoded = [
+        msgspec.json.decode(path.read_bytes()) for path in files if not path.name.startswith(".")
+    ]
     return tuple(ServiceFile(scaled(values, most_targets)) for values in decoded)
 
 
--- /dev/null
+++ b/tests/processes/test_leaving.py
@@ -0,0 +1,98 @@
+"""A leaving target gets no new work after the bound, and no request in flight is cut."""
+
+import asyncio
+
+import pytest
+
+from tests.processes.callers import Told
+from tests.processes.harness import fleet
+from tests.processes.services import service
+from tests.processes.verdicts import count, late_work
+
+BOUND_SECONDS = 3.0
+MEAN_MS = 250.0
+SECONDS = 8.0
+
+
+async def by_list(running, one, name):
+    await running.leave_by_list(name)
+
+
+async def by_answer(running, one, name):
+    await running.leave_by_answer(name)
+
+
+async def by_file(running, one, name):
+    address = f"127.0.0.1:{running.targets[name].port}"
+    values = {**one.values, "leaving": {"targets": [address], "drain_ms": 10_000}}
+    type(one)(values).write(running.directory / "services")
+    running.notice(name)
+    published = await running.publish(running.directory / "services")
+    assert published.returncode == 0, published.stderr
+
+
+WAYS = {"well": (by_list, by_answer, by_file), "down": (by_answer, by_answer)}
+
+
+@pytest.mark.parametrize("platform", WAYS)
+def test_leaving_by_each_way_at_once_while_the_platform_is(platform):
+    async def run():
+        async with fleet() as running:
+            one = service("booking", targets=6, floor=2)
+            one.write(running.directory / "services")
+            await running.start_platform()
+            published = await running.publish(running.directory / "services")
+            assert published.returncode == 0, published.stderr
+            names = [
+                await running.start_target(one.name, "Gobabis", slots=8, mean_ms=MEAN_MS)
+                for _ in range(one.targets)
+            ]
+            for domain in ("Gobabis", "Witvlei", "Leonardville"):
+                await running.start_entry(domain)
+            callers = running.callers(seed=31)
+            load = asyncio.ensure_future(callers.run(one.kinds(), 10, 50.0, SECONDS))
+            await asyncio.sleep(2.0)
+            await running.platform(down=platform == "down")
+            ways = WAYS[platform]
+            await asyncio.gather(
+                *(way(running, one, name) for way, name in zip(ways, names, strict=False))
+            )
+            await asyncio.sleep(4.0)
+            assert [await running.stop(name) for name in names[: len(ways)]] == [0] * len(ways)
+            await load
+            return callers.calls, running.ledgers(), running.stops
+
+    calls, ledgers, stops = asyncio.run(run())
+    verdicts = count(calls, ledgers, stops)
+    print(platform, verdicts.to_json())
+    for stop in stops:
+        assert any(line.what == "started" for line in ledgers[stop.name])
+    assert late_work(ledgers, stops, BOUND_SECONDS) == []
+    assert [call for call in calls if call.told is Told.MAY_HAVE_RUN] == []
+    assert verdicts.good()
+
+
+def test_planned_stop_of_an_entry_cuts_nothing():
+    async def run():
+        async with fleet() as running:
+            one = service("booking", targets=3, floor=2)
+            one.write(running.directory / "services")
+            await running.start_platform()
+            published = await running.publish(running.directory / "services")
+            assert published.returncode == 0, published.stderr
+            for _ in range(one.targets):
+                await running.start_target(one.name, "Gobabis", slots=8, mean_ms=MEAN_MS)
+            for domain in ("Gobabis", "Witvlei", "Leonardville"):
+                await running.start_entry(domain)
+            callers = running.callers(seed=32)
+            load = asyncio.ensure_future(callers.run(one.kinds(), 10, 50.0, 5.0))
+            await asyncio.sleep(2.0)
+            assert await running.stop("entry-0") == 0
+            await load
+            return callers.calls, running.ledgers(), running.stops
+
+    calls, ledgers, stops = asyncio.run(run())
+    verdicts = count(calls, ledgers, stops)
+    print(verdicts.to_json())
+    assert verdicts.good()
+    assert verdicts.may_have_run == 0
--- /dev/null
+++ b/tests/processes/test_own_answer.py
@@ -0,0 +1,38 @@
+"""Every caller gets the whole answer to its own request, or sees that it is broken."""
+
+import asyncio
+
+from tests.processes.callers import Told
+from tests.processes.chaos import WRONG_ANSWERS
+from tests.processes.harness import fleet
+from tests.processes.services import service
+from tests.processes.verdicts import count
+
+EXCHANGES = 2_000
+SECONDS = 8.0
+
+
+def test_distinct_answers_over_few_connections_from_wrong_targets():
+    async def run():
+        async with fleet() as running:
+            one = service("records", targets=4, floor=3)
+            one.write(running.directory / "services")
+            await running.start_platform()
+            published = await running.publish(running.directory / "services")
+            assert published.returncode == 0, published.stderr
+            for _ in range(one.targets):
+                name = await running.start_target(one.name, "Gobabis", slots=64, mean_ms=4.0)
+                await running.behave(name, **{**WRONG_ANSWERS, "late_ms": 300.0})
+            for domain in ("Gobabis", "Witvlei"):
+                await running.start_entry(domain)
+            callers = running.callers(seed=21, leave_share=0.05)
+            await callers.run(one.kinds(), sessions=24, pause_ms=10.0, seconds=SECONDS)
+            return callers.calls, running.ledgers()
+
+    calls, ledgers = asyncio.run(run())
+    verdicts = count(calls, ledgers, [])
+    print(verdicts.to_json())
+    assert [call for call in calls if call.told is Told.FOREIGN] == []
+    assert verdicts.good()
+    assert verdicts.sent > EXCHANGES
+    assert verdicts.whole > verdicts.sent / 2
