Test restarts and starts of daemons while the platform is down

A daemon that starts in an outage takes its configuration from the peers its settings name. Every VM is replaced one after another with the store down; no version goes back.

--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -221,6 +221,7 @@
         now = time.time()
         self.disturbances.append(Disturbance(name, now, now))
         self.processes[name].send(signal.SIGKILL)
+        self.processes[name].popen.wait(STOP_SECONDS)
 
     @contextmanager
     def frozen(self, name: str) -> Iterator[None]:
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -58,14 +58,23 @@
     return type(one)({**one.values, "hosts": [host]})
 
 
-def test_in_force_within_the_bound():
+def test_in_force_within_the_bound_and_kept_across_restarts_in_an_outage():
     async def run():
         async with fleet() as running:
             one = service("records", targets=2, floor=1)
             await started(running, one)
             published = await publish(running, "first", renamed(one, "other.example"))
             version = msgspec.json.decode(published.stdout)["version"]
-            return await in_force(running, version)
+            taken = await in_force(running, version)
+            await running.platform(down=True)
+            for name in list(running.entries):
+                await running.start_entry(DOMAINS[len(running.entries) % 3])
+                running.kill(name)
+                assert min(await versions(running)) >= version
+            await running.platform()
+            await asyncio.sleep(1.5)
+            assert min(await versions(running)) >= version
+            return taken
 
     print(f"in force after {asyncio.run(run()):.2f} s")
 
