--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -14,11 +14,13 @@
 
 import msgspec
 
+from standins.target import LedgerLine
 from tests.processes.callers import Call, Told
 from tests.processes.chaos import ALL_FAULTS, FAILURE_DOMAINS, LEAST_ENTRIES, Chaos
 from tests.processes.harness import Fleet, fleet
 from tests.processes.services import ServiceFile, service
 from tests.processes.verdicts import (
+    PlannedStop,
     Verdicts,
     count,
     cut,
@@ -113,12 +115,12 @@
     """Count, and describe each broken promise."""
     ledgers = running.ledgers()
     verdicts = count(calls, ledgers, running.stops, running.disturbances)
-    late = late_work(ledgers, running.stops, LEAVE_SECONDS)
+    late = find_late(running, calls)
     findings = [f"ran twice: {work}" for work in doubled(ledgers)]
     findings += [f"told not-run but ran: {call}" for call in false_not_run(calls, ledgers)]
     stopped = cut(calls, ledgers, running.stops, running.disturbances)
     findings += [f"cut by a planned stop: {call}" for call in stopped]
-    findings += [f"late work: {line}" for line in late]
+    findings += late
     findings += [f"foreign: {call}" for call in calls if call.told is Told.FOREIGN]
     bookings: dict[str, list[Call]] = {}
     for call in calls:
@@ -128,6 +130,33 @@
     return Soaked(verdicts, calls, chaos.injected, len(bookings), sure, len(late), findings)
 
 
+def had_time(running: Fleet, call: Call, line: LedgerLine, stop: PlannedStop) -> bool:
+    """Say whether the entry that sent late work had been awake long enough to know the notice.
+
+    A notice by list also needs a platform that answers.
+    """
+    since = line.at - LEAVE_SECONDS
+    names = {call.entry, "platform"} if stop.by == "list" else {call.entry}
+    asleep = (
+        fault.name in names and fault.end > max(stop.at, since) and fault.start < line.at
+        for fault in running.disturbances
+    )
+    return running.entries[call.entry].started_at < since and not any(asleep)
+
+
+def find_late(running: Fleet, calls: list[Call]) -> list[str]:
+    """Describe work that came to leaving targets from entries that should have known."""
+    ledgers = running.ledgers()
+    by_id = {call.request_id: call for call in calls}
+    return [
+        f"late work: {stop.name} got {line} {line.at - stop.at:.1f} s after its notice by {stop.by}"
+        f" from {by_id[line.request_id].entry}"
+        for stop in running.stops
+        for line in late_work(ledgers, [stop], LEAVE_SECONDS)
+        if had_time(running, by_id[line.request_id], line, stop)
+    ]
+
+
 def is_sure(calls: list[Call]) -> bool:
     """Say whether the caller of one booking knows at the end if it ran."""
     told = {call.told for call in calls}
--- /dev/null
+++ b/tests/processes/test_at_most_once.py
@@ -0,0 +1,38 @@
+"""Bookings run at most once, and "not run" is true, whatever fails around them.
+
+Callers repeat one key at several entries, at once and after failures; other bookings carry keys
+of their own. Only the callers' and the targets' ledgers are asked.
+"""
+
+import asyncio
+
+import pytest
+
+from scripts.soak import soak
+from tests.processes.chaos import (
+    ALL_FAULTS,
+    ENTRY_FAULTS,
+    PATH_FAULTS,
+    PLATFORM_FAULTS,
+    TARGET_FAULTS,
+)
+
+SECONDS = 7.0
+
+SCHEDULES = {
+    "entries-killed-and-frozen": (11, ENTRY_FAULTS),
+    "platform-down-slow-and-forgetful": (12, PLATFORM_FAULTS),
+    "paths-cut-one-way": (13, PATH_FAULTS),
+    "targets-killed-frozen-and-wrong": (14, TARGET_FAULTS),
+    "all-together": (15, ALL_FAULTS),
+}
+
+
+@pytest.mark.parametrize("schedule", SCHEDULES)
+def test_bookings_under(schedule):
+    seed, faults = SCHEDULES[schedule]
+    result = asyncio.run(soak(SECONDS, seed, faults, gap_seconds=0.5))
+    print(schedule, result.to_json())
+    assert result.findings == []
+    assert result.bookings > 0
+    assert result.verdicts.whole > result.verdicts.sent / 3
