--- a/bench/added.py
+++ b/bench/added.py
@@ -1,9 +1,9 @@
 """What one daemon adds to a request's latency: ``make bench-added``.
 
-One platform stand-in, one target stand-in and one daemon, each a process. Requests arrive at
-random (Poisson) and go in turn straight to the target and through the daemon, so that both see
-the same machine. The last line is one JSON object; ``added`` figures are differences of the
-quantiles of both ways.
+One platform stand-in, one target that answers at once and one daemon, each a process. Requests
+arrive at random (Poisson) and go in turn straight to the target and through the daemon, so that
+both see the same machine. The last line is one JSON object; ``added`` figures are differences of
+the quantiles of both ways.
 """
 
 import argparse
@@ -15,7 +15,7 @@
 import sys
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
@@ -40,7 +40,6 @@
     Route("/booking", ("POST",), False, "booking"),
 )
 SERVICE = Service("records", ("records",), ROUTES, targets=1, floor=1, slots=200, warm_up_ms=0)
-SERVICE_MS = 0.01
 START_SECONDS = 20.0
 WARM_UP_REQUESTS = 200
 BODY = b"x" * 400
@@ -224,24 +223,33 @@
 
 async def run(options: argparse.Namespace, directory: Path) -> dict[str, float]:
     """Start the processes, measure, and end them."""
-    platform, target, listen, peer, admin = (free_address() for _ in range(5))
-    settings = Settings("entry-1", "Gobabis", listen, peer, admin, platform)
-    path = directory / "settings.json"
-    path.write_bytes(msgspec.json.encode(settings))
-    arguments = ("--port", str(target.port), "--slots", "200", "--mean-ms", str(SERVICE_MS))
+    target = free_address()
+    with ExitStack() as stack:
+        stack.enter_context(process("bench.target", "--port", str(target.port)))
+        await until_status(target, "/health")
+        entry = target
+        for number in range(options.relays + 1):
+            entry, daemon = await start_entry(stack, directory / str(number), entry, options)
+        return await measure(target, entry, daemon, options)
+
+
+async def start_entry(
+    stack: ExitStack, path: Path, target: Address, options: argparse.Namespace
+) -> tuple[Address, int]:
+    """Start a platform and a daemon with one target; return where it listens and its pid."""
+    platform, listen, peer, admin = (free_address() for _ in range(4))
+    path.write_bytes(
+        msgspec.json.encode(Settings("entry-1", "Gobabis", listen, peer, admin, platform))
+    )
+    stack.enter_context(process("standins.platform", "--port", str(platform.port)))
+    await until_status(platform, "/vms")
+    await publish(platform, target)
     daemon: tuple[str, ...] = ("cactusvane.daemon", str(path))
     if options.profile:
         daemon = ("cProfile", "-o", options.profile, "-m", *daemon)
-    with (
-        process("standins.platform", "--port", str(platform.port)),
-        process("standins.target", *arguments),
-    ):
-        await until_status(platform, "/vms")
-        await until_status(target, "/health")
-        await publish(platform, target)
-        with process(*daemon) as child:
-            await until_status(admin, "/ready")
-            return await measure(target, listen, child.pid, options)
+    child = stack.enter_context(process(*daemon))
+    await until_status(admin, "/ready")
+    return listen, child.pid
 
 
 def main() -> None:
@@ -250,6 +258,7 @@
     parser.add_argument("--rate", type=float, default=200.0, help="requests a second, each way")
     parser.add_argument("--requests", type=int, default=4_000, help="requests on each way")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--relays", type=int, default=0, help="daemons between entry and target")
     parser.add_argument("--profile", default="", help="write a cProfile of the daemon here")
     options = parser.parse_args()
     with TemporaryDirectory() as directory:
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncGenerator
+from itertools import pairwise
 
 import pytest
 from hypothesis import given, settings
@@ -174,3 +175,50 @@
     assert b"500" not in reply.split(b"\r\n")[0]
     assert b"Traceback" not in reply
     assert reply == b"" or reply.startswith(b"HTTP/1.1 ")
+
+
+@st.composite
+def pipelines(draw: st.DrawFn) -> tuple[list[bytes], list[bytes]]:
+    """Whole requests, and their bytes cut at random places."""
+    bodies = draw(st.lists(st.binary(max_size=40), min_size=1, max_size=4))
+    data = b""
+    for number, body in enumerate(bodies):
+        close = b"connection: close\r\n" if number == len(bodies) - 1 else b""
+        data += b"POST /%d HTTP/1.1\r\nhost: a\r\n%b" % (number, close)
+        if draw(st.booleans()):
+            data += b"content-length: %d\r\n\r\n%b" % (len(body), body)
+        else:
+            chunk = b"%x\r\n%b\r\n" % (len(body), body) if body else b""
+            data += b"transfer-encoding: chunked\r\n\r\n%b0\r\n\r\n" % chunk
+    cuts = sorted(draw(st.lists(st.integers(0, len(data)), max_size=6)))
+    return bodies, [data[a:b] for a, b in pairwise([0, *cuts, len(data)])]
+
+
+@settings(derandomize=True, deadline=None, max_examples=40)
+@given(pipelines())
+def test_each_request_gets_its_own_answer_however_its_bytes_arrive(
+    pipeline: tuple[list[bytes], list[bytes]],
+) -> None:
+    bodies, pieces = pipeline
+
+    async def run() -> bytes:
+        server = Server(HttpLimits(), echo)
+        address = await server.start(Address("127.0.0.1", 0))
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        for piece in pieces:
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(0)
+        reply = await reader.read()
+        writer.close()
+        await server.drain(1_000)
+        return reply
+
+    reply = asyncio.run(run())
+    for number, body in enumerate(bodies):
+        own = b"POST /%d" % number + body
+        head, _, reply = reply.partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200")
+        assert reply.startswith(own)
+        reply = reply[len(own) :]
+    assert reply == b""
