Kill an entry at each step of a keyed booking; follow with 48 followers

Keys killed before the claim, after it, after dispatch and after the answer ran at most once, with the table up and down afterwards.

--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -7,12 +7,18 @@
 import msgspec
 import pytest
 
+from cactusvane.clock import Clock
+from cactusvane.configuration.follow import Follower
+from cactusvane.fleet.vm import Address
+from cactusvane.platform.client import HttpPlatform
+from cactusvane.settings import Settings
 from tests.processes.harness import fleet
 from tests.processes.services import service
 
 BOUND_SECONDS = 5.0
 DOMAINS = ("Gobabis", "Witvlei", "Leonardville")
 CONFLICT = 4
+FOLLOWERS = 48
 
 
 async def started(running, *files):
@@ -105,6 +111,43 @@
     asyncio.run(run())
 
 
+def test_in_force_at_48_followers():
+    async def run():
+        async with fleet() as running:
+            await running.start_platform()
+            one = service("records", targets=2, floor=1)
+            await publish(running, "first", one)
+            address = Address("127.0.0.1", running.platform_port)
+            followers = [follower(number, address) for number in range(FOLLOWERS)]
+            tasks = [asyncio.ensure_future(each.run()) for each in followers]
+            await all_follow(followers, 1)
+            published = await publish(running, "first", renamed(one, "other.example"))
+            taken = await all_follow(followers, msgspec.json.decode(published.stdout)["version"])
+            for task in tasks:
+                task.cancel()
+            return taken
+
+    taken = asyncio.run(run())
+    print(f"in force at {FOLLOWERS} followers after {taken:.2f} s")
+    assert taken < BOUND_SECONDS
+
+
+def follower(number, platform):
+    here = Address("127.0.0.1", 1)
+    settings = Settings(f"entry-{number}", DOMAINS[number % 3], here, here, here, platform)
+    made = Follower(settings, HttpPlatform(platform), Clock())
+    made.vms = FOLLOWERS
+    return made
+
+
+async def all_follow(followers, version):
+    start = time.monotonic()
+    while min(each.head.version if each.head else 0 for each in followers) < version:
+        assert time.monotonic() - start < 2 * BOUND_SECONDS
+        await asyncio.sleep(0.02)
+    return time.monotonic() - start
+
+
 @pytest.mark.parametrize("lost", [0, 6])
 def test_racing_publishers_lose_nothing(lost):
     async def run():
--- /dev/null
+++ b/tests/processes/test_killed_claims.py
@@ -0,0 +1,62 @@
+"""An entry is killed at each step of a keyed booking; the repeats never run it again."""
+
+import asyncio
+import random
+
+import pytest
+
+from tests.processes.callers import Told
+from tests.processes.harness import fleet
+from tests.processes.services import service
+from tests.processes.verdicts import count, started
+
+SLOW_MS = 200.0
+WORK_MS = 600.0
+STEPS = {"before-claim": 0.1, "claimed": 0.28, "dispatched": 0.6, "answered": 2.4}
+
+
+@pytest.mark.parametrize("table", ["up", "down-after"])
+def test_killed_at_each_step(table):
+    async def run():
+        async with fleet() as running:
+            one = service("booking", targets=3, floor=2)
+            one.write(running.directory / "services")
+            await running.start_platform()
+            published = await running.publish(running.directory / "services")
+            assert published.returncode == 0, published.stderr
+            for _ in range(one.targets):
+                await running.start_target(one.name, "Gobabis", mean_ms=WORK_MS)
+            for domain in ("Gobabis", "Witvlei", "Leonardville", "Gobabis", "Witvlei"):
+                await running.start_entry(domain)
+            callers = running.callers(seed=61)
+            callers.patience = 6.0
+            booking = next(kind for kind in one.kinds() if kind.keyed)
+            told = {}
+            for step, seconds in STEPS.items():
+                await running.platform(slow_ms=SLOW_MS)
+                told[step] = await booked(running, callers, booking, step, seconds, table)
+            return told, callers.calls, running.ledgers()
+
+    told, calls, ledgers = asyncio.run(run())
+    runs = {step: sum(step in line.key for line in started(ledgers)) for step in STEPS}
+    print(table, told, runs)
+    assert count(calls, ledgers, []).good()
+    assert max(runs.values()) == 1
+
+
+async def booked(running, callers, booking, step, seconds, table):
+    """Book with one key, kill the entry in between, and repeat at the others."""
+    draws = random.Random(step)
+    first = callers.new_call(booking, draws, key=f"key-{step}")
+    calling = asyncio.ensure_future(callers.once(first, draws))
+    await asyncio.sleep(seconds)
+    running.kill(first.entry)
+    del running.in_balancer[first.entry]
+    await calling
+    await running.platform(down=table == "down-after", slow_ms=0.0)
+    for _ in range(3):
+        repeat = callers.new_call(booking, draws, key=f"key-{step}")
+        await callers.once(repeat, draws)
+        if repeat.told in (Told.WHOLE, Told.REPEATED):
+            break
+    return first.told.value, repeat.told.value
