--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,19 +1,23 @@
 """What each part costs as it grows, and the lines through the figures: ``make bench-capacity``."""
 
+import asyncio
 import gc
 import itertools
 import subprocess
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 
 import msgspec
 
+from bench.messages import messages
 from bench.population import configuration, members, service, targets
 from bench.slope import Fit, Point, cpu_us, fit
-from cactusvane.configuration.digest import decode, encode
+from cactusvane.configuration.model import Configuration
 from cactusvane.configuration.routes import RoutingTable
-from cactusvane.fleet import cells
+from cactusvane.configuration.tree import Tree, build, read
+from cactusvane.fleet.assignment import Assignment
 from cactusvane.fleet.membership import Membership
 from cactusvane.fleet.messages import Envelope, Listed, Member, Received, Rumor, Status
 from cactusvane.fleet.messages import Ticked as FleetTicked
@@ -73,10 +77,31 @@
     return cpu_us(lambda: table.replace_service(next(changed)), 500)
 
 
-def decode_configuration(size: int) -> float:
-    """Measure decoding a whole configuration of `size` routes."""
-    data = encode(configuration(size))
-    return cpu_us(lambda: decode(data), 1 if size > SIZES[0] else 20)
+def with_one_change(size: int) -> tuple[Tree, Tree]:
+    """Return a configuration of `size` routes and the same with one service changed."""
+    before = configuration(size)
+    changed = replace(before.services[0], slots=before.services[0].slots + 1)
+    return build(before), build(Configuration((changed, *before.services[1:])))
+
+
+def moved_bytes(size: int) -> int:
+    """Return how many bytes a VM fetches for a change of one service among `size` routes."""
+    before, after = with_one_change(size)
+    fresh = after.digests() - before.digests()
+    return sum(len(after.find(part) or b"") for part in fresh)
+
+
+def read_change(size: int) -> float:
+    """Measure reading a change of one service among `size` routes."""
+    before, after = with_one_change(size)
+    loop = asyncio.new_event_loop()
+
+    async def fetch(part: str) -> bytes:
+        return after.find(part) or b""
+
+    spent = cpu_us(lambda: loop.run_until_complete(read(fetch, after.digest, before)), 20)
+    loop.close()
+    return spent
 
 
 def filled_pool(size: int) -> Pool:
@@ -151,11 +176,19 @@
     return cpu_us(one, 200)
 
 
-def find_keepers(size: int) -> float:
-    """Measure finding the keepers of one cell."""
-    vms = members(size)
-    names = itertools.count()
-    return cpu_us(lambda: cells.keepers(f"service-{next(names)}", vms), 5)
+def replace_vm(size: int) -> float:
+    """Measure assigning 260 cells again after one VM was replaced by another."""
+    vms = members(size + 200)
+    assignment = Assignment()
+    assignment.set_vms(vms[:size])
+    assignment.set_cells([f"service-{number}" for number in range(260)])
+    steps = itertools.count(1)
+
+    def one() -> None:
+        step = next(steps)
+        assignment.set_vms(vms[step : size + step])
+
+    return cpu_us(one, 10)
 
 
 def processor() -> list[Fit]:
@@ -163,20 +196,20 @@
     return [
         sweep("find a route", SIZES, "route", find_route),
         sweep("change a service's routes", SIZES, "route", change_service),
-        sweep("decode a configuration", SIZES, "route", decode_configuration),
+        sweep("read a change", SIZES, "route", read_change),
         sweep("decide a request", POOL_SIZES, "target", request),
         sweep("tick a pool", POOL_SIZES, "target", tick_pool),
         sweep("report at a keeper", POOL_SIZES, "target", report_to_keeper),
         sweep("tick the membership", FLEET_SIZES, "VM", tick_membership),
         sweep("hear of one VM", FLEET_SIZES, "VM", hear_death),
-        sweep("find the keepers of a cell", FLEET_SIZES, "VM", find_keepers),
+        sweep("assign 260 cells again", FLEET_SIZES, "VM", replace_vm),
     ]
 
 
 def bytes_of() -> list[Fit]:
     """Measure the length of stored forms."""
-    stored = [Point(n, len(encode(configuration(n)))) for n in SIZES]
-    return [fit("stored configuration", "bytes", "route", stored)]
+    moved = [Point(n, moved_bytes(n)) for n in SIZES]
+    return [fit("moved by one change", "bytes", "route", moved)]
 
 
 def row(line: Fit) -> str:
@@ -190,7 +223,7 @@
 
 def main() -> None:
     """Measure, print a table, and one line of JSON last."""
-    fits = [*memory(), *bytes_of(), *processor()]
+    fits = [*memory(), *bytes_of(), *messages(), *processor()]
     for line in fits:
         print(row(line))
     print(msgspec.json.encode(fits).decode())
--- /dev/null
+++ b/bench/messages.py
@@ -0,0 +1,133 @@
+"""What messages between VMs cost: bytes on the wire, and processor time over gRPC on loopback."""
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+
+from bench.population import members, service, targets
+from bench.slope import Fit, Point, cpu_us, fit
+from cactusvane.configuration.model import Head
+from cactusvane.fleet.messages import Envelope, Member, Rumor
+from cactusvane.fleet.vm import Address, Vm
+from cactusvane.peers.client import Channels, Gossiper
+from cactusvane.peers.codec import (
+    pack_entry_message,
+    pack_envelope,
+    unpack_entry_message,
+    unpack_envelope,
+)
+from cactusvane.peers.messages import EntryMessage
+from cactusvane.peers.server import EntryLink, PeerServer
+from cactusvane.pool.messages import ReportEvidence, TargetCounts
+
+UPDATES = (0, 4, 12)
+REPORTED = (1, 8, 34)
+CALLS = (200, 400, 800)
+NS_PER_US = 1_000
+HEAD = Head(12_000, "0" * 64, "11111111-2222-3333-4444-555555555555")
+
+
+def envelope(updates: int) -> Envelope:
+    """Return a message with that many updates and a head."""
+    vms = members(updates + 1)
+    return Envelope(Member(vms[0]), Rumor(), tuple(Member(vm) for vm in vms[1:]), HEAD)
+
+
+def report(size: int) -> ReportEvidence:
+    """Return a report on that many targets."""
+    vms = targets((service(0),), size)[0]
+    counts = tuple(TargetCounts(vm.address, served=20, in_time=20) for vm in vms)
+    return ReportEvidence(service(0).name, counts)
+
+
+class Listener:
+    """Answers nothing to whatever arrives."""
+
+    def gossip(self, envelope: Envelope) -> tuple[Envelope, ...]:
+        """Take in a message."""
+        return ()
+
+    def find_configuration(self, digest: str) -> bytes | None:
+        """Have no configuration."""
+        return None
+
+    def list_known(self) -> tuple[Vm, ...] | None:
+        """Have no list."""
+        return None
+
+    def entry_came(self, link: EntryLink) -> None:
+        """Take in the beginning of an entry's stream."""
+
+    def entry_said(self, link: EntryLink, message: EntryMessage) -> None:
+        """Take in a message of an entry."""
+
+    def entry_went(self, link: EntryLink) -> None:
+        """Take in the end of an entry's stream."""
+
+
+def free_port() -> int:
+    """Return a port on loopback that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+async def exchange(calls: int, port: int) -> float:
+    """Return the processor time of `calls` messages, both sides, in microseconds."""
+    server = PeerServer(Listener())
+    address = Address("127.0.0.1", port)
+    await server.start(address)
+    channels = Channels()
+    gossiper = Gossiper(channels, lambda reply: None)
+    message = envelope(4)
+    await gossiper.call(address, message)
+    start = time.process_time_ns()
+    for _ in range(calls):
+        await gossiper.call(address, message)
+    spent = time.process_time_ns() - start
+    await channels.close()
+    await server.stop()
+    return spent / NS_PER_US
+
+
+def sizes(name: str, counts: tuple[int, ...], per: str, make: Callable[[int], int]) -> Fit:
+    """Measure bytes at each count."""
+    return fit(name, "bytes", per, [Point(count, make(count)) for count in counts])
+
+
+def pack_and_unpack(updates: int) -> float:
+    """Measure packing and unpacking a message with that many updates."""
+    message = envelope(updates)
+    kind = type(pack_envelope(message))
+
+    def both() -> object:
+        return unpack_envelope(kind.FromString(pack_envelope(message).SerializeToString()))
+
+    return cpu_us(both, 200)
+
+
+def unpack_report(size: int) -> float:
+    """Measure packing and unpacking a report on that many targets."""
+    message = report(size)
+    packed = pack_entry_message(message)
+    kind = type(packed)
+
+    def both() -> object:
+        data = pack_entry_message(message).SerializeToString()
+        return unpack_entry_message(kind.FromString(data))
+
+    return cpu_us(both, 200)
+
+
+def messages() -> list[Fit]:
+    """Measure messages."""
+    port = free_port()
+    calls = [Point(count, asyncio.run(exchange(count, port))) for count in CALLS]
+    return [
+        sizes("gossip", UPDATES, "update", lambda n: pack_envelope(envelope(n)).ByteSize()),
+        sizes("evidence", REPORTED, "target", lambda n: pack_entry_message(report(n)).ByteSize()),
+        fit("code gossip", "us", "update", [Point(n, pack_and_unpack(n)) for n in UPDATES]),
+        fit("code evidence", "us", "target", [Point(n, unpack_report(n)) for n in REPORTED]),
+        fit("gossip over gRPC, two sides", "us", "message", calls),
+    ]
