--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -36,7 +36,15 @@
 SIZES = (1_000, 10_000, 88_000)
 POOL_SIZES = (6, 34, 200)
 FLEET_SIZES = (48, 500, 5_700)
-PARTS = ("routes", "pools", "keepers", "membership")
+PARTS = {
+    "routes": SIZES,
+    "tree": SIZES,
+    "pools": SIZES,
+    "keepers": SIZES,
+    "observers": FLEET_SIZES,
+    "histograms": (30, 300, 2_600),
+    "membership": FLEET_SIZES,
+}
 
 
 def resident(part: str, size: int) -> float:
@@ -49,8 +57,8 @@
 def memory() -> list[Fit]:
     """Measure resident memory by size."""
     return [
-        fit(f"memory of {part}", "MB", "item", [Point(n, resident(part, n)) for n in SIZES])
-        for part in PARTS
+        fit(f"memory of {part}", "MB", "item", [Point(n, resident(part, n)) for n in sizes])
+        for part, sizes in PARTS.items()
     ]
 
 
--- a/bench/messages.py
+++ b/bench/messages.py
@@ -4,20 +4,21 @@
 import socket
 import time
 from collections.abc import Callable
+from random import Random
 
 from bench.population import members, service, targets
 from bench.slope import Fit, Point, cpu_us, fit
 from cactusvane.configuration.model import Head
 from cactusvane.fleet.messages import Envelope, Member, Rumor
 from cactusvane.fleet.vm import Address, Vm
-from cactusvane.peers.client import Channels, Gossiper
+from cactusvane.peers.client import Channels, Gossiper, KeeperLink
 from cactusvane.peers.codec import (
     pack_entry_message,
     pack_envelope,
     unpack_entry_message,
     unpack_envelope,
 )
-from cactusvane.peers.messages import EntryMessage
+from cactusvane.peers.messages import EntryMessage, Hello
 from cactusvane.peers.server import EntryLink, PeerServer
 from cactusvane.pool.messages import ReportEvidence, TargetCounts
 
@@ -42,7 +43,10 @@
 
 
 class Listener:
-    """Answers nothing to whatever arrives."""
+    """Answers nothing to whatever arrives, and counts what entries say."""
+
+    def __init__(self) -> None:
+        self.heard = 0
 
     def gossip(self, envelope: Envelope) -> tuple[Envelope, ...]:
         """Take in a message."""
@@ -60,7 +64,8 @@
         """Take in the beginning of an entry's stream."""
 
     def entry_said(self, link: EntryLink, message: EntryMessage) -> None:
-        """Take in a message of an entry."""
+        """Count a message of an entry."""
+        self.heard += 1
 
     def entry_went(self, link: EntryLink) -> None:
         """Take in the end of an entry's stream."""
@@ -91,6 +96,31 @@
     return spent / NS_PER_US
 
 
+async def stream(calls: int, port: int) -> float:
+    """Return the processor time of `calls` reports on a held stream, both sides, in us."""
+    listener = Listener()
+    server = PeerServer(listener)
+    address = Address("127.0.0.1", port)
+    await server.start(address)
+    channels = Channels()
+    link = KeeperLink(
+        channels, address, Hello("vm-1", "zone-0"), lambda _: None, lambda _: None, Random(1)
+    )
+    while not link.up:
+        await asyncio.sleep(0.01)
+    message = report(8)
+    start = time.process_time_ns()
+    for call in range(calls):
+        link.send(message)
+        while listener.heard <= call:
+            await asyncio.sleep(0)
+    spent = time.process_time_ns() - start
+    await link.close()
+    await channels.close()
+    await server.stop()
+    return spent / NS_PER_US
+
+
 def sizes(name: str, counts: tuple[int, ...], per: str, make: Callable[[int], int]) -> Fit:
     """Measure bytes at each count."""
     return fit(name, "bytes", per, [Point(count, make(count)) for count in counts])
@@ -124,10 +154,12 @@
     """Measure messages."""
     port = free_port()
     calls = [Point(count, asyncio.run(exchange(count, port))) for count in CALLS]
+    reports = [Point(count, asyncio.run(stream(count, port))) for count in CALLS]
     return [
         sizes("gossip", UPDATES, "update", lambda n: pack_envelope(envelope(n)).ByteSize()),
         sizes("evidence", REPORTED, "target", lambda n: pack_entry_message(report(n)).ByteSize()),
         fit("code gossip", "us", "update", [Point(n, pack_and_unpack(n)) for n in UPDATES]),
         fit("code evidence", "us", "target", [Point(n, unpack_report(n)) for n in REPORTED]),
         fit("gossip over gRPC, two sides", "us", "message", calls),
+        fit("report on a stream, two sides", "us", "message", reports),
     ]
--- a/bench/resident.py
+++ b/bench/resident.py
@@ -6,14 +6,17 @@
 from collections.abc import Callable
 from random import Random
 
-from bench.population import configuration, members, targets
+from bench.population import TARGETS_PER_SERVICE, configuration, members, service, targets
 from cactusvane.configuration.model import Configuration
 from cactusvane.configuration.routes import RoutingTable
+from cactusvane.configuration.tree import build
 from cactusvane.fleet.membership import Membership
 from cactusvane.fleet.messages import Listed
+from cactusvane.metrics import Recorder
 from cactusvane.pool.keeper import Keeper
-from cactusvane.pool.messages import TargetsListed
+from cactusvane.pool.messages import EvidenceReported, TargetCounts, TargetsListed
 from cactusvane.pool.pool import Pool
+from cactusvane.verdict import Verdict
 
 MB = 1_000_000
 STATM_RESIDENT = 1
@@ -35,8 +38,8 @@
     """Hold pools with `size` targets in all."""
     services = configuration(size).services
     held = []
-    for service, vms in zip(services, targets(services, size), strict=True):
-        pool = Pool(service, "zone-0", Random(1))
+    for owner, vms in zip(services, targets(services, size), strict=True):
+        pool = Pool(owner, "zone-0", Random(1))
         pool.handle(TargetsListed(vms), 0.0)
         held.append(pool)
     return held
@@ -46,13 +49,41 @@
     """Hold keepers of `size` targets in all."""
     services = configuration(size).services
     held = []
-    for service, vms in zip(services, targets(services, size), strict=True):
-        keeper = Keeper(service)
+    for owner, vms in zip(services, targets(services, size), strict=True):
+        keeper = Keeper(owner)
         keeper.handle(TargetsListed(vms), 0.0)
         held.append(keeper)
     return held
 
 
+def observers(size: int) -> object:
+    """Hold one keeper that `size` entries report to about 34 targets."""
+    owner = service(0)
+    vms = targets((owner,), TARGETS_PER_SERVICE)[0]
+    keeper = Keeper(owner)
+    keeper.handle(TargetsListed(vms), 0.0)
+    for step in (0.0, 600.0):
+        for index in range(size):
+            counts = tuple(TargetCounts(vm.address, served=20, in_time=20) for vm in vms)
+            report = EvidenceReported(f"vm-{index}", "zone-0", counts)
+            keeper.handle(report, step)
+    return keeper
+
+
+def tree(size: int) -> object:
+    """Hold a routing table of `size` routes and the tree of its configuration."""
+    held = build(configuration(size))
+    return held, RoutingTable(held.configuration)
+
+
+def histograms(size: int) -> object:
+    """Hold the figures of `size` kinds of request that were asked for once."""
+    recorder = Recorder()
+    for index in range(size):
+        recorder.kind(f"service-{index}", "lookup").answered(200, Verdict.RAN, 25.0, 0.8)
+    return recorder
+
+
 def membership(size: int) -> object:
     """Hold the beliefs about `size` VMs."""
     vms = members(size)
@@ -67,7 +98,8 @@
 
 
 PARTS: dict[str, Callable[[int], object]] = {
-    part.__name__: part for part in (routes, pools, keepers, membership, nothing)
+    part.__name__: part
+    for part in (routes, tree, pools, keepers, observers, histograms, membership, nothing)
 }
 
 
