Tell pools, gate and metrics of an answer after it is on its way; describe the data path

Evidence, slots, burn report and histograms were updated between the target's answer and the caller's. They follow the answer now; failed attempts still report before the next choice. The request's own way moved to a module of its own.

--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -3,33 +3,29 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
-from functools import partial
 from random import Random
 
 from cactusvane import events
-from cactusvane.claims.claims import Claims, Held
-from cactusvane.clock import MS_PER_SECOND, Clock
+from cactusvane.claims.claims import Claims
+from cactusvane.clock import Clock
 from cactusvane.configuration.model import Configuration, Service
-from cactusvane.configuration.routes import Match, RoutingTable
-from cactusvane.errors import BrokenAnswerError, ConnectError, ExchangeError, RequestError
+from cactusvane.configuration.routes import RoutingTable
+from cactusvane.errors import ExchangeError
 from cactusvane.events import Event
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.http.check import bad_request
-from cactusvane.http.client import ClientConnection, fetch
+from cactusvane.http.client import fetch
 from cactusvane.http.connection import TargetConnections, spares_allowed
-from cactusvane.http.message import Answer, Request, end_to_end
-from cactusvane.http.server import VERDICT_HEADER, Caller
-from cactusvane.http.stream import RelayedStream
-from cactusvane.keyed import Keyed, find_key, run_keyed
-from cactusvane.metrics import KindRecord, Recorder
+from cactusvane.http.message import Answer, Request
+from cactusvane.http.server import Caller
+from cactusvane.journey import Journey
+from cactusvane.keyed import Keyed, find_key
+from cactusvane.metrics import Recorder
 from cactusvane.pool.messages import (
-    AttemptEnded,
-    AttemptStarted,
     CloseIdle,
     Ejected,
     LeavingNoticed,
     NoticeSource,
-    Outcome,
     PoolCommand,
     PoolEvent,
     Probe,
@@ -45,32 +41,15 @@
 from cactusvane.pool.pool import Pool
 from cactusvane.pool.target import TargetState
 from cactusvane.report.ledger import Ledger
-from cactusvane.report.order import in_good_order, objective_of
-from cactusvane.request.attempts import (
-    Answered,
-    AttemptResult,
-    Attempts,
-    Deliver,
-    Lost,
-    NoTarget,
-    Refuse,
-    Try,
-)
 from cactusvane.request.budget import RetryBudget
 from cactusvane.settings import Settings
 from cactusvane.slots.entry import EntrySlots, Pending
-from cactusvane.slots.gate import Gate, Ticket
+from cactusvane.slots.gate import Gate
 from cactusvane.slots.messages import TargetsInUse
-from cactusvane.verdict import Verdict
 
-DEADLINE_HEADER = b"cactusvane-deadline-ms"
-SHED_HEADER = b"cactusvane-shed"
-DRAINING_HEADER = b"cactusvane-draining"
-FAILED_STATUS = 500
 HEALTH_PATH = "/health"
 HEALTHY_STATUS = 200
 PROBE_MS = 1_000
-RAN_FIELD = (VERDICT_HEADER, Verdict.RAN.value.encode())
 
 
 @dataclass(slots=True)
@@ -289,189 +268,3 @@
     for vm in vms:
         groups.setdefault(vm.service, []).append(vm)
     return {name: tuple(group) for name, group in groups.items()}
-
-
-def deadline_ms(request: Request, match: Match) -> float:
-    """Return the time that a request has; the caller may shorten the route's deadline."""
-    text = request.header(DEADLINE_HEADER)
-    if text is None:
-        return match.route.deadline_ms
-    if not text.isdigit() or len(text) > 9:
-        raise bad_request("bad-deadline", "Cactusvane-Deadline-Ms is no whole number")
-    return min(match.route.deadline_ms, int(text))
-
-
-class Journey:
-    """One request on its way through an entry.
-
-    Parameters
-    ----------
-    entry
-        Where it came in.
-    match
-        Its service and route.
-    request
-        As the caller sent it.
-    """
-
-    def __init__(self, entry: Entry, match: Match, request: Request) -> None:
-        self.entry = entry
-        self.clock = entry.clock
-        self.route = match.route
-        self.state = entry.services[match.service.name]
-        self.request = request
-        self.headers = end_to_end(request.headers)
-        self.headers.append((b"connection", b"close"))
-        self.started = self.clock.now()
-        self.at_targets = 0.0
-        self.record: KindRecord = entry.recorder.kind(match.service.name, match.route.kind)
-        self.time_ms = deadline_ms(request, match)
-        self.attempts = Attempts(match.route, self.time_ms, self.state.budget, self.started)
-        self.held: Held | None = None
-        self.tried: frozenset[Address] = frozenset()
-        self.answer: Answer | None = None
-        self.ticket: Ticket | None = None
-
-    async def run(self) -> Answer:
-        """Send the request until the attempts say what its caller gets."""
-        command = self.attempts.first(self.started)
-        try:
-            while isinstance(command, Try):
-                result = await self.attempt(command)
-                command = self.attempts.ended(result, self.clock.now())
-        finally:
-            if self.answer is None or self.answer.rest is None:
-                self.withdraw()
-        match command:
-            case Deliver():
-                assert self.answer is not None
-                self.count(self.answer.status, Verdict.RAN)
-                return self.answer
-            case Refuse(status, code, text, verdict):
-                self.count(status, verdict)
-                raise RequestError(status, code, text, verdict)
-
-    async def run_keyed(self, claims: Claims, keyed: Keyed) -> Answer:
-        """Send the request under a claim of its key."""
-
-        async def run(held: Held) -> Answer:
-            self.held = held
-            return await self.run()
-
-        try:
-            answer = await run_keyed(claims, keyed, run)
-        except RequestError as error:
-            if self.held is None:
-                self.count(error.status, error.verdict)
-            raise
-        if self.held is None:
-            self.count(answer.status, Verdict.RAN)
-        return answer
-
-    def count(self, status: int, verdict: Verdict) -> None:
-        """Record what the caller is told."""
-        total = self.clock.now() - self.started
-        self.record.answered(status, verdict, total, total - self.at_targets)
-        service, kind = self.state.pool.service, self.route.kind
-        good = in_good_order(objective_of(service, kind), status, verdict, total)
-        self.entry.ledger.record(service.name, kind, good, self.clock.wall())
-
-    async def attempt(self, command: Try) -> AttemptResult:
-        """Do one attempt and tell the pool how it ended."""
-        address = await self.choose()
-        if address is None:
-            return NoTarget()
-        self.tried |= {address}
-        self.entry.tell(self.state.pool, AttemptStarted(address))
-        started = self.clock.now()
-        outcome = Outcome.CANCELLED
-        try:
-            result = await self.exchange(address, command)
-            outcome = self.outcome(result)
-            return result
-        finally:
-            self.at_targets += self.clock.now() - started
-            if self.answer is None or self.answer.rest is None:
-                self.end(address, started, outcome)
-
-    async def choose(self) -> Address | None:
-        """Wait for a slot at a target that this request has not tried."""
-        gate = self.state.gate
-        if self.ticket is None:
-            deadline = self.attempts.deadline
-            self.ticket = gate.open(deadline, self.tried, self.route.idempotent)
-        address = await gate.wait(self.ticket)
-        if address is None:
-            self.withdraw()
-        return address
-
-    def withdraw(self) -> None:
-        """Let go of the place at the gate, if there is one."""
-        if self.ticket is not None:
-            self.state.gate.withdraw(self.ticket)
-            self.ticket = None
-
-    def end(self, address: Address, started: float, outcome: Outcome) -> None:
-        """Tell pool and metrics that an attempt ended."""
-        latency = self.clock.now() - started
-        self.record.attempted(outcome)
-        self.entry.tell(self.state.pool, AttemptEnded(address, outcome, latency))
-        if self.ticket is not None:
-            self.state.gate.end(self.ticket, outcome, latency)
-            if outcome is not Outcome.SHED:
-                self.ticket = None
-
-    def outcome(self, result: AttemptResult) -> Outcome:
-        """Return what the pool learns from a result."""
-        match result:
-            case Lost(outcome):
-                return outcome
-            case Answered(status):
-                return Outcome.FAILED if status >= FAILED_STATUS else Outcome.SERVED
-            case NoTarget():
-                return Outcome.UNREACHABLE
-
-    async def exchange(self, address: Address, command: Try) -> AttemptResult:
-        """Send the request to one target and wait for its answer."""
-        connection: ClientConnection | None = None
-        started = self.clock.now()
-        try:
-            async with asyncio.timeout(command.timeout_ms / MS_PER_SECOND):
-                verified = not self.route.idempotent
-                connection = await self.entry.connections.take(address, verified)
-                if self.held and not self.held.may_send(self.clock.now()):
-                    connection.close()
-                    return Lost(Outcome.CANCELLED, Verdict.NOT_RUN, "the claim's lease is over")
-                remaining = command.remaining_ms - (self.clock.now() - started)
-                answer = await connection.exchange(self.outgoing(remaining))
-        except ConnectError as error:
-            return Lost(Outcome.UNREACHABLE, error.verdict, str(error))
-        except BrokenAnswerError as error:
-            return Lost(Outcome.BROKEN, error.verdict, f"{address}: {error}")
-        except TimeoutError:
-            text = f"{address}: no answer in time"
-            if connection is None:
-                return Lost(Outcome.UNREACHABLE, Verdict.NOT_RUN, text)
-            return Lost(Outcome.TIMED_OUT, Verdict.MAY_HAVE_RUN, text)
-        return self.receive(address, answer, started)
-
-    def outgoing(self, remaining_ms: float) -> Request:
-        """Return the request as targets get it, with what is left of its deadline."""
-        left = b"%d" % max(1, int(remaining_ms))
-        headers = [*self.headers, (DEADLINE_HEADER, left)]
-        return Request(self.request.method, self.request.target, headers, self.request.body)
-
-    def receive(self, address: Address, answer: Answer, started: float) -> AttemptResult:
-        """Tell an answer from a target's word that it did not start."""
-        if answer.status == 503 and answer.rest is None:
-            if answer.header(SHED_HEADER) == b"1":
-                return Lost(Outcome.SHED, Verdict.NOT_RUN, f"{address}: sheds load")
-            if answer.header(DRAINING_HEADER) == b"1":
-                return Lost(Outcome.DRAINING, Verdict.NOT_RUN, f"{address}: is draining")
-        rest = None
-        if answer.rest is not None:
-            ended = partial(self.end, address, started)
-            rest = RelayedStream(answer.rest, self.entry.settings.http.body_ms, ended)
-        headers = [*end_to_end(answer.headers), RAN_FIELD]
-        self.answer = Answer(answer.status, headers, answer.body, rest, answer.length)
-        return Answered(answer.status, rest is not None)
--- /dev/null
+++ b/cactusvane/journey.py
@@ -0,0 +1,262 @@
+"""One request on its way: slot, exchange, answer, and again where that is harmless."""
+
+import asyncio
+from functools import partial
+from typing import TYPE_CHECKING
+
+from cactusvane.claims.claims import Claims, Held
+from cactusvane.clock import MS_PER_SECOND
+from cactusvane.configuration.routes import Match
+from cactusvane.errors import BrokenAnswerError, ConnectError, RequestError
+from cactusvane.fleet.vm import Address
+from cactusvane.http.check import bad_request
+from cactusvane.http.client import ClientConnection
+from cactusvane.http.message import Answer, Request, end_to_end
+from cactusvane.http.server import VERDICT_HEADER
+from cactusvane.http.stream import RelayedStream
+from cactusvane.keyed import Keyed, run_keyed
+from cactusvane.metrics import KindRecord
+from cactusvane.pool.messages import (
+    AttemptEnded,
+    AttemptStarted,
+    Outcome,
+)
+from cactusvane.report.order import in_good_order, objective_of
+from cactusvane.request.attempts import (
+    Answered,
+    AttemptResult,
+    Attempts,
+    Deliver,
+    Lost,
+    NoTarget,
+    Refuse,
+    Try,
+)
+from cactusvane.slots.gate import Ticket
+from cactusvane.verdict import Verdict
+
+if TYPE_CHECKING:
+    from cactusvane.entry import Entry
+
+DEADLINE_HEADER = b"cactusvane-deadline-ms"
+SHED_HEADER = b"cactusvane-shed"
+DRAINING_HEADER = b"cactusvane-draining"
+FAILED_STATUS = 500
+RAN_FIELD = (VERDICT_HEADER, Verdict.RAN.value.encode())
+
+
+def deadline_ms(request: Request, match: Match) -> float:
+    """Return the time that a request has; the caller may shorten the route's deadline."""
+    text = request.header(DEADLINE_HEADER)
+    if text is None:
+        return match.route.deadline_ms
+    if not text.isdigit() or len(text) > 9:
+        raise bad_request("bad-deadline", "Cactusvane-Deadline-Ms is no whole number")
+    return min(match.route.deadline_ms, int(text))
+
+
+class Journey:
+    """One request on its way through an entry.
+
+    Parameters
+    ----------
+    entry
+        Where it came in.
+    match
+        Its service and route.
+    request
+        As the caller sent it.
+    """
+
+    def __init__(self, entry: "Entry", match: Match, request: Request) -> None:
+        self.entry = entry
+        self.clock = entry.clock
+        self.route = match.route
+        self.state = entry.services[match.service.name]
+        self.request = request
+        self.headers = end_to_end(request.headers)
+        self.headers.append((b"connection", b"close"))
+        self.started = self.clock.now()
+        self.at_targets = 0.0
+        self.waited = 0.0
+        self.record: KindRecord = entry.recorder.kind(match.service.name, match.route.kind)
+        self.time_ms = deadline_ms(request, match)
+        self.attempts = Attempts(match.route, self.time_ms, self.state.budget, self.started)
+        self.held: Held | None = None
+        self.tried: frozenset[Address] = frozenset()
+        self.answer: Answer | None = None
+        self.ticket: Ticket | None = None
+
+    async def run(self) -> Answer:
+        """Send the request until the attempts say what its caller gets."""
+        command = self.attempts.first(self.started)
+        try:
+            while isinstance(command, Try):
+                result = await self.attempt(command)
+                command = self.attempts.ended(result, self.clock.now())
+        finally:
+            if not self.streams:
+                self.withdraw()
+        match command:
+            case Deliver():
+                assert self.answer is not None
+                self.count(self.answer.status, Verdict.RAN)
+                return self.answer
+            case Refuse(status, code, text, verdict):
+                self.count(status, verdict)
+                raise RequestError(status, code, text, verdict)
+
+    async def run_keyed(self, claims: Claims, keyed: Keyed) -> Answer:
+        """Send the request under a claim of its key."""
+
+        async def run(held: Held) -> Answer:
+            self.held = held
+            return await self.run()
+
+        try:
+            answer = await run_keyed(claims, keyed, run)
+        except RequestError as error:
+            if self.held is None:
+                self.count(error.status, error.verdict)
+            raise
+        if self.held is None:
+            self.count(answer.status, Verdict.RAN)
+        return answer
+
+    def count(self, status: int, verdict: Verdict) -> None:
+        """Record what the caller is told, after the answer is on its way."""
+        total = self.clock.now() - self.started
+        asyncio.get_running_loop().call_soon(self.record_end, status, verdict, total)
+
+    def record_end(self, status: int, verdict: Verdict, total_ms: float) -> None:
+        """Add the request to the metrics and to the burn report."""
+        self.record.answered(status, verdict, total_ms, total_ms - self.at_targets)
+        self.record.waited_for_slot(self.waited)
+        service, kind = self.state.pool.service, self.route.kind
+        good = in_good_order(objective_of(service, kind), status, verdict, total_ms)
+        self.entry.ledger.record(service.name, kind, good, self.clock.wall())
+
+    async def attempt(self, command: Try) -> AttemptResult:
+        """Do one attempt and tell the pool how it ended."""
+        address = await self.choose()
+        if address is None:
+            return NoTarget()
+        self.tried |= {address}
+        self.entry.tell(self.state.pool, AttemptStarted(address))
+        started = self.clock.now()
+        outcome = Outcome.CANCELLED
+        try:
+            result = await self.exchange(address, command)
+            outcome = self.outcome(result)
+            return result
+        finally:
+            latency = self.clock.now() - started
+            self.at_targets += latency
+            if outcome is Outcome.SERVED and not self.streams:
+                self.end_soon(address, latency)
+            elif not self.streams:
+                self.end(address, latency, outcome)
+
+    @property
+    def streams(self) -> bool:
+        """Whether the rest of the answer is still to come."""
+        return self.answer is not None and self.answer.rest is not None
+
+    def end_soon(self, address: Address, latency: float) -> None:
+        """Tell pool and metrics of a whole answer, after it is on its way to the caller."""
+        ticket, self.ticket = self.ticket, None
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self.tell_end, ticket, address, latency, Outcome.SERVED)
+
+    def end(self, address: Address, latency: float, outcome: Outcome) -> None:
+        """Tell pool and metrics that an attempt ended; a shed request keeps its ticket."""
+        self.tell_end(self.ticket, address, latency, outcome)
+        if outcome is not Outcome.SHED:
+            self.ticket = None
+
+    def tell_end(
+        self, ticket: Ticket | None, address: Address, latency: float, outcome: Outcome
+    ) -> None:
+        """Tell pool, gate and metrics that an attempt ended."""
+        self.record.attempted(outcome)
+        self.entry.tell(self.state.pool, AttemptEnded(address, outcome, latency))
+        if ticket is not None:
+            self.state.gate.end(ticket, outcome, latency)
+
+    def end_stream(self, address: Address, started: float, outcome: Outcome) -> None:
+        """Tell pool and metrics that a streamed answer ended."""
+        self.end(address, self.clock.now() - started, outcome)
+
+    async def choose(self) -> Address | None:
+        """Wait for a slot at a target that this request has not tried."""
+        gate = self.state.gate
+        if self.ticket is None:
+            deadline = self.attempts.deadline
+            self.ticket = gate.open(deadline, self.tried, self.route.idempotent)
+        since = self.clock.now()
+        address = await gate.wait(self.ticket)
+        self.waited += self.clock.now() - since
+        if address is None:
+            self.withdraw()
+        return address
+
+    def withdraw(self) -> None:
+        """Let go of the place at the gate, if there is one."""
+        if self.ticket is not None:
+            self.state.gate.withdraw(self.ticket)
+            self.ticket = None
+
+    def outcome(self, result: AttemptResult) -> Outcome:
+        """Return what the pool learns from a result."""
+        match result:
+            case Lost(outcome):
+                return outcome
+            case Answered(status):
+                return Outcome.FAILED if status >= FAILED_STATUS else Outcome.SERVED
+            case NoTarget():
+                return Outcome.UNREACHABLE
+
+    async def exchange(self, address: Address, command: Try) -> AttemptResult:
+        """Send the request to one target and wait for its answer."""
+        connection: ClientConnection | None = None
+        started = self.clock.now()
+        try:
+            async with asyncio.timeout(command.timeout_ms / MS_PER_SECOND):
+                verified = not self.route.idempotent
+                connection = await self.entry.connections.take(address, verified)
+                if self.held and not self.held.may_send(self.clock.now()):
+                    connection.close()
+                    return Lost(Outcome.CANCELLED, Verdict.NOT_RUN, "the claim's lease is over")
+                remaining = command.remaining_ms - (self.clock.now() - started)
+                answer = await connection.exchange(self.outgoing(remaining))
+        except ConnectError as error:
+            return Lost(Outcome.UNREACHABLE, error.verdict, str(error))
+        except BrokenAnswerError as error:
+            return Lost(Outcome.BROKEN, error.verdict, f"{address}: {error}")
+        except TimeoutError:
+            text = f"{address}: no answer in time"
+            if connection is None:
+                return Lost(Outcome.UNREACHABLE, Verdict.NOT_RUN, text)
+            return Lost(Outcome.TIMED_OUT, Verdict.MAY_HAVE_RUN, text)
+        return self.receive(address, answer, started)
+
+    def outgoing(self, remaining_ms: float) -> Request:
+        """Return the request as targets get it, with what is left of its deadline."""
+        left = b"%d" % max(1, int(remaining_ms))
+        headers = [*self.headers, (DEADLINE_HEADER, left)]
+        return Request(self.request.method, self.request.target, headers, self.request.body)
+
+    def receive(self, address: Address, answer: Answer, started: float) -> AttemptResult:
+        """Tell an answer from a target's word that it did not start."""
+        if answer.status == 503 and answer.rest is None:
+            if answer.header(SHED_HEADER) == b"1":
+                return Lost(Outcome.SHED, Verdict.NOT_RUN, f"{address}: sheds load")
+            if answer.header(DRAINING_HEADER) == b"1":
+                return Lost(Outcome.DRAINING, Verdict.NOT_RUN, f"{address}: is draining")
+        rest = None
+        if answer.rest is not None:
+            ended = partial(self.end_stream, address, started)
+            rest = RelayedStream(answer.rest, self.entry.settings.http.body_ms, ended)
+        headers = [*end_to_end(answer.headers), RAN_FIELD]
+        self.answer = Answer(answer.status, headers, answer.body, rest, answer.length)
+        return Answered(answer.status, rest is not None)
