Scope a keeper's ejection by what each failure domain saw

Cause: a cut seen by one failure domain ejected for all (32 entries not concerned), trials of the others then brought the target back (last new request 9.4 s). Change: only the domains that find a target sick leave it out, the rest follow on half of the evidence; slowness counts a quarter, since requests of one queue are slow together (one healthy target was ejected after a bad deploy on half). Doubt is bounded and fades, so that it is no ejection by the back door.

--- a/cactusvane/pool/evidence.py
+++ b/cactusvane/pool/evidence.py
@@ -46,12 +46,15 @@
     ----------
     alternative
         The share of bad outcomes looked for.
+    discount
+        Factor on the evidence.
     """
 
-    __slots__ = ("alternative", "bad", "good", "score")
+    __slots__ = ("alternative", "bad", "discount", "good", "score")
 
-    def __init__(self, alternative: float) -> None:
+    def __init__(self, alternative: float, discount: float = 1.0) -> None:
         self.alternative = alternative
+        self.discount = discount
         self.bad = 0.0
         self.good = 0.0
         self.score = 0.0
@@ -63,7 +66,7 @@
         self.bad += bad
         self.good += good
         if self.alternative >= BASE_MARGIN * base:
-            self.score = ratio(self.bad, self.good, base, self.alternative)
+            self.score = self.discount * ratio(self.bad, self.good, base, self.alternative)
         else:
             self.score = 0.0
         if self.score <= 0.0:
@@ -76,7 +79,9 @@
     __slots__ = ("bad", "excursions", "good", "score", "window")
 
     def __init__(self, settings: StreamSettings) -> None:
-        self.excursions = [Excursion(alternative) for alternative in settings.alternatives]
+        self.excursions = [
+            Excursion(alternative, settings.discount) for alternative in settings.alternatives
+        ]
         self.window = settings.window
         self.bad = 0.0
         self.good = 0.0
--- a/cactusvane/pool/keeper.py
+++ b/cactusvane/pool/keeper.py
@@ -4,11 +4,12 @@
 entry holds the floor itself and lets an ejection lapse that is not repeated.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from cactusvane.configuration.model import Service
 from cactusvane.fleet.vm import Address
-from cactusvane.pool.evidence import Stream, ratio
+from cactusvane.pool.evidence import Excursion, Stream, ratio
 from cactusvane.pool.messages import (
     Ejection,
     EvidenceReported,
@@ -27,11 +28,14 @@
 SLOW_SEVERITY = 0.5
 """A slow target is less sick than one that fails as often."""
 
-ENOUGH_EXPECTED = 8.0
-"""Outcomes expected from a failure domain before it can clear a target."""
+CLEARING = -2.0
+"""Log-likelihood ratio below which a failure domain's observers clear a target."""
 
-CLEARING_SHARE = 0.05
-"""A failure domain clears a target if its outcomes speak against this bad share."""
+FEWEST_BAD = 2.0
+"""Bad outcomes without which a failure domain's observers do not find a target sick."""
+
+WIDENING = 0.5
+"""Once one failure domain is ejecting, others follow on this share of the evidence."""
 
 CREDIT_GAP_MS = 500.0
 """Least time between two credits without a bad outcome."""
@@ -79,6 +83,19 @@
         self.repeat_at = 0.0
         self.forget()
 
+    def is_out_for(self, failure_domain: str) -> bool:
+        """Say whether the ejection holds for observers of a failure domain."""
+        domains = self.finding.failure_domains if self.finding else ()
+        return not domains or failure_domain in domains
+
+    def bad_seen_from(self, failure_domain: str, observers: Mapping[str, Observer]) -> float:
+        """Return how many bad outcomes one failure domain's observers have seen."""
+        return sum(
+            bad
+            for name, bad in self.observers.items()
+            if name in observers and observers[name].failure_domain == failure_domain
+        )
+
     def forget(self) -> None:
         """Forget who saw bad outcomes."""
         self.first_bad_at = 0.0
@@ -152,13 +169,15 @@
             return ()
         commands: list[KeeperCommand] = []
         for count in known:
-            commands += self.weigh(name, count, now)
+            commands += self.weigh(name, failure_domain, count, now)
         return tuple(commands)
 
-    def weigh(self, observer: str, counts: TargetCounts, now: float) -> tuple[KeeperCommand, ...]:
+    def weigh(
+        self, observer: str, failure_domain: str, counts: TargetCounts, now: float
+    ) -> tuple[KeeperCommand, ...]:
         """Weigh one observer's counts of one target."""
         case = self.cases[counts.target]
-        if case.quarantine is not None:
+        if case.quarantine is not None and case.is_out_for(failure_domain):
             return self.tried(case, case.quarantine, counts, now)
         bad = counts.failed + counts.slow
         if not bad:
@@ -197,48 +216,62 @@
         finding = self.find(target, case, now)
         if finding is None:
             return ()
-        until = now + case.hold_down.begin(now)
-        trial = Trial(self.settings.hold, self.failures.base, self.slowness.base)
-        case.quarantine = Quarantine(until, trial, finding.severity)
+        if case.quarantine is None:
+            until = now + case.hold_down.begin(now)
+            case.quarantine = Quarantine(until, self.new_trial(), finding.severity)
         case.finding = finding
+        if finding.failure_domains:
+            case.forget()
+            self.failures.restart(target)
+            self.slowness.restart(target)
         return self.repeat(target, case, now)
 
+    def new_trial(self) -> Trial:
+        """Return a trial against the service's present base rates."""
+        return Trial(self.settings.hold, self.failures.base, self.slowness.base)
+
     def find(self, target: Address, case: Case, now: float) -> Finding | None:
         """Return what the evidence against a target amounts to, None for too little."""
         if len(case.observers) < self.settings.least_observers:
             return None
+        least = self.threshold * (1.0 if case.quarantine is None else WIDENING)
         top = max(case.observers.values())
         for stream, scale, kind in (
             (self.failures, 1.0, "failing"),
             (self.slowness, SLOW_SEVERITY, "slow"),
         ):
             worst = stream.sums[target].worst
-            if worst.score < self.threshold:
+            if worst.score < least:
                 continue
             others = max(0.0, worst.bad - top)
-            if ratio(others, worst.good, stream.base, worst.alternative) < self.threshold / 2.0:
+            if ratio(others, worst.good, stream.base, worst.alternative) < least / 2.0:
                 continue
             severity = scale * worst.bad / (worst.bad + worst.good)
             reason = f"{len(case.observers)} VMs find it {kind}"
-            return Finding(self.domains(target, case, stream.base, now), severity, reason)
+            domains = self.domains(target, case, worst, stream.base, now)
+            return Finding(domains, severity, reason)
         return None
 
-    def domains(self, target: Address, case: Case, base: float, now: float) -> tuple[str, ...]:
-        """Return the failure domains that do not clear the target; empty for all."""
-        names = sorted({observer.failure_domain for observer in self.observers.values()})
-        against = []
-        for name in names:
-            bad = sum(
-                count
-                for observer, count in case.observers.items()
-                if observer in self.observers and self.observers[observer].failure_domain == name
-            )
+    def domains(
+        self, target: Address, case: Case, worst: Excursion, base: float, now: float
+    ) -> tuple[str, ...]:
+        """Return the failure domains whose observers find the target sick; empty for all.
+
+        Two failure domains that do so speak for a third that has seen too little yet.
+        """
+        names = {observer.failure_domain for observer in self.observers.values()}
+        against = {name for name in names if case.quarantine and case.is_out_for(name)}
+        cleared = set()
+        for name in names - against:
+            bad = case.bad_seen_from(name, self.observers)
             expected = self.rate(target, name) * (now - case.first_bad_at)
-            good = max(0.0, expected - bad)
-            share = max(CLEARING_SHARE, 2.0 * base)
-            if expected < ENOUGH_EXPECTED or ratio(bad, good, base, share) > 0.0:
-                against.append(name)
-        return () if len(against) == len(names) else tuple(against)
+            evidence = ratio(bad, max(0.0, expected - bad), base, worst.alternative)
+            if bad >= FEWEST_BAD and evidence > 0.0:
+                against.add(name)
+            elif evidence < CLEARING:
+                cleared.add(name)
+        everywhere = not cleared and len(against) != 1
+        return () if everywhere or against == names else tuple(sorted(against or names - cleared))
 
     def tried(
         self, case: Case, quarantine: Quarantine, counts: TargetCounts, now: float
@@ -260,6 +293,7 @@
     def take_in(self, target: Address, case: Case, now: float) -> tuple[KeeperCommand, ...]:
         """End a quarantine."""
         case.quarantine = None
+        case.finding = None
         case.hold_down.end(now)
         case.credited_at = now
         case.known_since = now
@@ -293,9 +327,10 @@
             if observer.is_gone(now):
                 del self.observers[name]
         for target, case in self.cases.items():
-            if case.quarantine is None:
-                if now - case.credited_at >= CREDIT_GAP_MS:
-                    self.credit(target, case, 0.0, 0.0, now)
-            elif now >= case.repeat_at:
+            partly = case.finding is not None and bool(case.finding.failure_domains)
+            due = now - case.credited_at >= CREDIT_GAP_MS
+            if due and (case.quarantine is None or partly):
+                self.credit(target, case, 0.0, 0.0, now)
+            if case.quarantine is not None and now >= case.repeat_at:
                 commands += self.repeat(target, case, now)
         return tuple(commands)
--- a/cactusvane/pool/pool.py
+++ b/cactusvane/pool/pool.py
@@ -44,11 +44,14 @@
 SLOW_SEVERITY = 0.5
 """A slow target is less sick than one that fails as often."""
 
-AVOIDANCE = 1.0
-"""How much each unit of own evidence makes a target look busier."""
+DOUBT_MS = 2_000.0
+"""How long the last bad outcome makes a target look busier."""
 
-NON_IDEMPOTENT_AVOIDANCE = 4.0
-"""The same for requests that cannot be tried again."""
+MOST_DOUBT = 2.0
+"""The most that it does so, in requests in flight, for requests that can be tried again."""
+
+NON_IDEMPOTENT_DOUBT = 4.0
+"""Factor on this for requests that cannot."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,7 +171,7 @@
         if not candidates:
             return None
         pair = self.random.sample(candidates, min(2, len(candidates)))
-        return min(pair, key=lambda state: self.cost(state, idempotent)).vm
+        return min(pair, key=lambda state: self.cost(state, now, idempotent)).vm
 
     def may_try(self, state: TargetState, now: float) -> bool:
         """Say whether a trial of the target is due, and if so count it."""
@@ -180,10 +183,15 @@
         quarantine.tried_at = now
         return True
 
-    def cost(self, state: TargetState, idempotent: bool) -> float:
+    def cost(self, state: TargetState, now: float, idempotent: bool) -> float:
         """Return how busy a target looks: requests in flight and own evidence."""
-        avoidance = AVOIDANCE if idempotent else NON_IDEMPOTENT_AVOIDANCE
-        doubt = avoidance * self.failures.score(state.vm.address)
+        if state.quarantine is not None:
+            doubt = 0.0 if idempotent else NON_IDEMPOTENT_DOUBT * MOST_DOUBT
+        elif now - state.bad_at < DOUBT_MS:
+            doubt = min(MOST_DOUBT, self.failures.score(state.vm.address))
+            doubt *= 1.0 if idempotent else NON_IDEMPOTENT_DOUBT
+        else:
+            doubt = 0.0
         return state.in_flight + doubt
 
     def ramped(self, states: list[TargetState], now: float) -> list[TargetState]:
@@ -239,6 +247,8 @@
         if self.path.suspected:
             return ()
         self.reporter.add(counts)
+        if counts.failed:
+            state.bad_at = now
         quarantine = state.quarantine
         if quarantine is None:
             self.failures.add(counts.target, counts.failed, counts.served)
--- a/cactusvane/pool/settings.py
+++ b/cactusvane/pool/settings.py
@@ -24,6 +24,9 @@
         Outcomes at `base_minimum` that each target is credited with at first.
     window
         Recent outcomes of a target that the estimate goes by.
+    discount
+        Factor on the evidence, below 1 where outcomes come in clusters: requests in one queue
+        are slow together.
     """
 
     alternatives: tuple[float, ...]
@@ -33,10 +36,11 @@
     base_margin: float = 1.25
     prior: float = 20.0
     window: float = 64.0
+    discount: float = 1.0
 
 
 FAILURES = StreamSettings(alternatives=(0.05, 0.3, 0.9), base_minimum=0.01)
-SLOWNESS = StreamSettings(alternatives=(0.25, 0.7), base_minimum=0.03)
+SLOWNESS = StreamSettings(alternatives=(0.25, 0.7), base_minimum=0.03, discount=0.25)
 
 
 @dataclass(frozen=True, slots=True)
--- a/cactusvane/pool/target.py
+++ b/cactusvane/pool/target.py
@@ -1,6 +1,7 @@
 """What one entry knows of one target, apart from the evidence."""
 
 from bisect import bisect_left, insort
+from math import inf
 
 from cactusvane.fleet.vm import Vm
 from cactusvane.pool.quarantine import HoldDown, Quarantine
@@ -21,6 +22,7 @@
     """
 
     __slots__ = (
+        "bad_at",
         "hold_down",
         "leaving",
         "overdue",
@@ -38,6 +40,7 @@
         self.hold_down = HoldDown(settings.hold)
         self.quarantine: Quarantine | None = None
         self.leaving = False
+        self.bad_at = -inf
         self.waiting: list[float] = []
         self.overdue: list[float] = []
 
