--- /dev/null
+++ b/bench/calm.py
@@ -0,0 +1,166 @@
+"""Hours without any fault: how often the decisions eject a healthy target all the same.
+
+Bad outcomes of healthy targets are rare and independent, so that only they are drawn, at
+exponential times; the good ones between them are drawn as one Poisson count for each entry and
+target and enter the product's own pools in closed form.
+"""
+
+from dataclasses import dataclass
+from random import Random
+
+from bench.faults import ENTRIES, FAILURE_DOMAINS
+from cactusvane.configuration.model import Health, Route, Service
+from cactusvane.fleet.vm import Address, Vm
+from cactusvane.pool.keeper import Keeper
+from cactusvane.pool.messages import (
+    AttemptEnded,
+    AttemptStarted,
+    Ejected,
+    Ejection,
+    EvidenceReported,
+    Outcome,
+    ReportEvidence,
+    TargetCounts,
+    TargetsListed,
+)
+from cactusvane.pool.pool import Pool
+
+MS_PER_HOUR = 3_600_000.0
+BASE_ERRORS = 0.01
+BASE_SLOW = 0.005
+SERVICE_MS = 20.0
+SLOW_MS = 400.0
+NORMAL_FROM = 40.0
+"""Mean above which a Poisson count is drawn from the normal distribution."""
+
+
+@dataclass(frozen=True, slots=True)
+class Calm:
+    """What a calm stretch showed.
+
+    Parameters
+    ----------
+    hours
+        Its simulated length.
+    requests
+        Requests in it.
+    by_keeper
+        Healthy targets that the keeper ejected.
+    by_entries
+        Healthy targets that entries ejected for themselves, as shares of all entries.
+    """
+
+    hours: float
+    requests: int
+    by_keeper: int
+    by_entries: float
+
+
+def poisson(random: Random, mean: float) -> int:
+    """Draw a Poisson count."""
+    if mean > NORMAL_FROM:
+        return max(0, round(random.gauss(mean, mean**0.5)))
+    passed, count = random.expovariate(1.0), 0
+    while passed < mean:
+        passed += random.expovariate(1.0)
+        count += 1
+    return count
+
+
+class CalmFleet:
+    """Entries and a keeper with healthy targets.
+
+    Parameters
+    ----------
+    health
+        Weights of the operators' file.
+    rate
+        Requests per second, over all entries.
+    targets, floor
+        Size of the service.
+    seed
+        Seed of all random choices.
+    """
+
+    def __init__(self, health: Health, rate: float, targets: int, floor: int, seed: int) -> None:
+        self.random = Random(seed)
+        self.rate = rate
+        route = Route("/", ("GET",), True, "read")
+        self.service = Service(
+            "records", ("records",), (route,), targets, floor, slots=4, health=health
+        )
+        self.vms = tuple(
+            Vm(f"t{n}", Address("10.0.0.1", 8_000 + n), FAILURE_DOMAINS[n % 3])
+            for n in range(targets)
+        )
+        self.domains = [FAILURE_DOMAINS[n % 3] for n in range(ENTRIES)]
+        self.pools = [
+            Pool(self.service, domain, Random(seed * 1_000 + n))
+            for n, domain in enumerate(self.domains)
+        ]
+        self.keeper = Keeper(self.service)
+        self.caught_up = [0.0] * ENTRIES
+        self.by_keeper = 0
+        self.by_entries = 0.0
+
+    def run(self, hours: float) -> Calm:
+        """Let `hours` pass."""
+        for pool in self.pools:
+            pool.handle(TargetsListed(self.vms), 0.0)
+            for _ in range(100):
+                pool.median.add(SERVICE_MS)
+        self.keeper.handle(TargetsListed(self.vms), 0.0)
+        end, now = hours * MS_PER_HOUR, 0.0
+        bad_per_ms = self.rate / 1_000.0 * (BASE_ERRORS + BASE_SLOW)
+        while now < end:
+            now += self.random.expovariate(bad_per_ms)
+            self.bad_outcome(self.random.randrange(ENTRIES), now)
+        requests = round(hours * 3_600.0 * self.rate)
+        return Calm(hours, requests, self.by_keeper, self.by_entries)
+
+    def bad_outcome(self, entry: int, now: float) -> None:
+        """Let one entry have a bad outcome at a random target."""
+        self.catch_up(entry, now)
+        pool = self.pools[entry]
+        target = self.random.choice(self.vms).address
+        failing = self.random.random() < BASE_ERRORS / (BASE_ERRORS + BASE_SLOW)
+        outcome = Outcome.FAILED if failing else Outcome.SERVED
+        latency = SERVICE_MS if failing else SLOW_MS
+        pool.handle(AttemptStarted(target), now)
+        self.obey(entry, pool.handle(AttemptEnded(target, outcome, latency), now), now)
+
+    def catch_up(self, entry: int, now: float) -> None:
+        """Bring in the good outcomes since this entry's last bad one."""
+        pool = self.pools[entry]
+        share = self.rate / 1_000.0 * (1.0 - BASE_ERRORS - BASE_SLOW) / ENTRIES / len(self.vms)
+        mean = share * (now - self.caught_up[entry])
+        self.caught_up[entry] = now
+        for state in pool.targets.values():
+            count = poisson(self.random, mean)
+            counts = TargetCounts(state.vm.address, served=count, in_time=count)
+            self.obey(entry, pool.learn(state, counts, now), now)
+
+    def obey(self, entry: int, commands: tuple[object, ...], now: float) -> None:
+        """Carry reports to the keeper; count ejections and undo them."""
+        for command in commands:
+            match command:
+                case ReportEvidence(_, counts):
+                    report = EvidenceReported(f"e{entry}", self.domains[entry], counts)
+                    self.decide(report, now)
+                case Ejected(target, _):
+                    self.by_entries += 1.0 / ENTRIES
+                    pool = self.pools[entry]
+                    pool.take_in(pool.targets[target], now)
+
+    def decide(self, report: EvidenceReported, now: float) -> None:
+        """Let the keeper weigh a report."""
+        for command in self.keeper.handle(report, now):
+            if isinstance(command, Ejection):
+                self.by_keeper += 1
+                self.keeper.take_in(command.target, self.keeper.cases[command.target], now)
+
+
+def measure_calm(job: tuple[Health, float, int, int, int, float]) -> Calm:
+    """Run one seed: weights, requests per second, targets, floor, seed, hours."""
+    health, rate, targets, floor, seed, hours = job
+    return CalmFleet(health, rate, targets, floor, seed).run(hours)
--- a/cactusvane/pool/keeper.py
+++ b/cactusvane/pool/keeper.py
@@ -31,6 +31,9 @@
 CLEARING = -2.0
 """Log-likelihood ratio below which a failure domain's observers clear a target."""
 
+CLEARING_SHARE = 0.3
+"""Clearing looks at no greater bad share than this: a few good outcomes prove little."""
+
 FEWEST_BAD = 2.0
 """Bad outcomes without which a failure domain's observers do not find a target sick."""
 
@@ -194,19 +197,28 @@
         Failures arrive at once and successes as rare sums, so the good outcomes since the last
         credit are estimated from the observers' rates.
         """
-        expected = self.rate(target, "") * (now - case.credited_at)
+        rate = sum(
+            self.rate(target, name)
+            for name in self.failure_domains()
+            if case.quarantine is None or not case.is_out_for(name)
+        )
+        expected = rate * (now - case.credited_at)
         case.credited_at = now
         self.failures.add(target, failed, max(0.0, expected - failed))
         self.slowness.add(target, slow, max(0.0, expected - slow))
         if self.failures.score(target) == 0.0 and self.slowness.score(target) == 0.0:
             case.forget()
 
+    def failure_domains(self) -> set[str]:
+        """Return where observers stand."""
+        return {observer.failure_domain for observer in self.observers.values()}
+
     def rate(self, target: Address, failure_domain: str) -> float:
-        """Return the usual outcomes per millisecond, of one failure domain or of all."""
+        """Return the usual outcomes per millisecond that one failure domain sees."""
         return sum(
             observer.rates.get(target, 0.0)
             for observer in self.observers.values()
-            if failure_domain in ("", observer.failure_domain)
+            if observer.failure_domain == failure_domain
         )
 
     def judge(self, target: Address, case: Case, now: float) -> tuple[KeeperCommand, ...]:
@@ -259,13 +271,14 @@
 
         Two failure domains that do so speak for a third that has seen too little yet.
         """
-        names = {observer.failure_domain for observer in self.observers.values()}
+        names = self.failure_domains()
         against = {name for name in names if case.quarantine and case.is_out_for(name)}
+        share = min(CLEARING_SHARE, worst.alternative)
         cleared = set()
         for name in names - against:
             bad = case.bad_seen_from(name, self.observers)
             expected = self.rate(target, name) * (now - case.first_bad_at)
-            evidence = ratio(bad, max(0.0, expected - bad), base, worst.alternative)
+            evidence = ratio(bad, max(0.0, expected - bad), base, share)
             if bad >= FEWEST_BAD and evidence > 0.0:
                 against.add(name)
             elif evidence < CLEARING:
--- a/cactusvane/pool/pool.py
+++ b/cactusvane/pool/pool.py
@@ -140,7 +140,12 @@
             case ReturnHeard(target):
                 commands = self.return_heard(target, now)
             case Ticked():
+                changes = self.lapse(now) or any(
+                    state.ramp_from is not None for state in self.in_use
+                )
                 commands = self.ticked(now)
+                if not changes:
+                    return commands
         return (*commands, *self.refresh(now))
 
     def choose(
@@ -391,9 +396,8 @@
         return ()
 
     def ticked(self, now: float) -> tuple[PoolCommand, ...]:
-        """Find overdue requests, lapsed notices, probes and reports that are due."""
+        """Find overdue requests, probes and reports that are due."""
         commands: list[PoolCommand] = []
-        self.lapse(now)
         mark = self.slow_mark
         for state in self.targets.values():
             if mark and state.waiting and state.waiting[0] < now - mark:
@@ -412,14 +416,18 @@
         target = state.vm.address
         return self.learn(state, TargetCounts(target, slow=count, trial=target in self.out), now)
 
-    def lapse(self, now: float) -> None:
-        """Let answers' notices lapse; the target then has to prove itself as after an ejection."""
-        for target, notice in tuple(self.notices.items()):
-            if now >= notice.until:
-                del self.notices[target]
-                state = self.targets.get(target)
-                if state is not None and state.quarantine is None:
-                    state.quarantine = Quarantine(now, self.new_trial(), 1.0)
+    def lapse(self, now: float) -> bool:
+        """Let answers' notices lapse and return whether any did.
+
+        The target then has to prove itself as after an ejection.
+        """
+        lapsed = [target for target, notice in self.notices.items() if now >= notice.until]
+        for target in lapsed:
+            del self.notices[target]
+            state = self.targets.get(target)
+            if state is not None and state.quarantine is None:
+                state.quarantine = Quarantine(now, self.new_trial(), 1.0)
+        return bool(lapsed)
 
     def probes(self, state: TargetState, now: float) -> tuple[PoolCommand, ...]:
         """Ask for a probe where one is due."""
--- a/cactusvane/pool/settings.py
+++ b/cactusvane/pool/settings.py
@@ -40,7 +40,7 @@
 
 
 FAILURES = StreamSettings(alternatives=(0.05, 0.3, 0.9), base_minimum=0.01)
-SLOWNESS = StreamSettings(alternatives=(0.25, 0.7), base_minimum=0.03, discount=0.25)
+SLOWNESS = StreamSettings(alternatives=(0.25, 0.7), base_minimum=0.03, discount=0.5)
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,7 +114,7 @@
     slowness: StreamSettings = field(default=SLOWNESS)
     hold: HoldSettings = field(default_factory=HoldSettings)
     change_odds: float = 1e-7
-    slow_factor: float = 6.0
+    slow_factor: float = 10.0
     slow_minimum_ms: float = 20.0
     report_ms: float = 1_000.0
     urgent_ms: float = 20.0
