--- /dev/null
+++ b/tests/test_keeper.py
@@ -0,0 +1,108 @@
+from cactusvane.configuration.model import Health, Route, Service
+from cactusvane.fleet.vm import Address, Vm
+from cactusvane.pool.keeper import Keeper
+from cactusvane.pool.messages import (
+    Ejection,
+    EvidenceReported,
+    Return,
+    TargetCounts,
+    TargetsListed,
+    Ticked,
+)
+
+DOMAINS = ("Gobabis", "Witvlei", "Leonardville")
+VMS = tuple(Vm(f"t{n}", Address("10.0.0.1", 8000 + n), DOMAINS[n % 3]) for n in range(6))
+SICK = VMS[0].address
+OBSERVERS = tuple((f"e{n}", DOMAINS[n % 3]) for n in range(12))
+
+
+def service():
+    return Service(
+        "records",
+        ("records",),
+        (Route("/", ("GET",), True, "read"),),
+        6,
+        4,
+        4,
+        health=Health(1.0, 100.0),
+    )
+
+
+def usual_traffic(keeper, rounds=5):
+    keeper.handle(TargetsListed(VMS), 0.0)
+    for second in range(rounds):
+        for name, domain in OBSERVERS:
+            counts = tuple(TargetCounts(vm.address, served=10, in_time=10) for vm in VMS)
+            keeper.handle(EvidenceReported(name, domain, counts), second * 1_000.0)
+    return rounds * 1_000.0
+
+
+def fail(keeper, observers, targets, now, times=20, gap=10.0):
+    commands = []
+    for step in range(times):
+        name, domain = observers[step % len(observers)]
+        now += gap
+        counts = tuple(TargetCounts(target, failed=1) for target in targets)
+        commands += keeper.handle(EvidenceReported(name, domain, counts), now)
+    return commands, now
+
+
+def test_reports_of_many_observers_eject_for_all():
+    keeper = Keeper(service())
+    now = usual_traffic(keeper)
+    commands, _ = fail(keeper, OBSERVERS, [SICK], now)
+    assert [(c.target, c.failure_domains) for c in commands] == [(SICK, ())]
+
+
+def test_one_observer_alone_ejects_nothing():
+    keeper = Keeper(service())
+    now = usual_traffic(keeper)
+    commands, _ = fail(keeper, OBSERVERS[:1], [SICK], now, times=500)
+    assert commands == []
+
+
+def test_observer_that_finds_most_targets_sick_is_not_believed():
+    keeper = Keeper(service())
+    now = usual_traffic(keeper)
+    everywhere = [vm.address for vm in VMS]
+    _, now = fail(keeper, OBSERVERS[:3], everywhere, now, times=30)
+    for name, _ in OBSERVERS[:3]:
+        assert keeper.observers[name].is_suspect(len(VMS))
+    assert not any(case.quarantine for case in keeper.cases.values())
+
+
+def test_fault_seen_by_one_failure_domain_ejects_for_it_alone():
+    keeper = Keeper(service())
+    now = usual_traffic(keeper)
+    witvlei = [observer for observer in OBSERVERS if observer[1] == "Witvlei"]
+    commands, _ = fail(keeper, witvlei, [SICK], now, gap=25.0)
+    assert [c.failure_domains for c in commands] == [("Witvlei",)]
+
+
+def test_nothing_is_decided_before_the_usual_traffic_is_known():
+    keeper = Keeper(service())
+    keeper.handle(TargetsListed(VMS), 0.0)
+    commands, _ = fail(keeper, OBSERVERS, [SICK], 0.0, times=100)
+    assert commands == []
+
+
+def test_ejection_is_repeated_until_trials_pass():
+    keeper = Keeper(service())
+    now = usual_traffic(keeper)
+    _, now = fail(keeper, OBSERVERS, [SICK], now)
+    repeats = keeper.handle(Ticked(), now + 2_000.0)
+    assert [type(c) for c in repeats] == [Ejection]
+    now += 6_000.0
+    assert keeper.handle(Ticked(), now)[0].trial
+    counts = (TargetCounts(SICK, served=40, in_time=40, trial=True),)
+    first = keeper.handle(EvidenceReported("e1", "Witvlei", counts), now)
+    second = keeper.handle(EvidenceReported("e2", "Leonardville", counts), now)
+    assert (first, second) == ((), (Return(SICK),))
+
+
+def test_failed_trial_doubles_the_hold_down():
+    keeper = Keeper(service())
+    now = usual_traffic(keeper)
+    _, now = fail(keeper, OBSERVERS, [SICK], now)
+    commands, _ = fail(keeper, OBSERVERS, [SICK], now + 6_000.0)
+    assert [(c.hold_ms, c.trial) for c in commands] == [(10_000.0, False)]
