Remember the observers of quiet services

Ruled out: entries' own decisions (none). Change: a silent observer counts for five minutes; an overestimate only delays. test_observers_of_a_quiet_service_are_remembered was red before.

--- a/cactusvane/pool/observer.py
+++ b/cactusvane/pool/observer.py
@@ -10,8 +10,8 @@
 RATE_GAP_MS = 500.0
 """Least time over which a rate is measured."""
 
-GONE_MS = 10_000.0
-"""An observer that reports nothing for so long is forgotten."""
+GONE_MS = 300_000.0
+"""An observer that reports nothing for so long is forgotten; at a quiet service most are silent."""
 
 LOOKED_FOR = 0.5
 """The bad share that makes one observer call one target sick."""
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -106,3 +106,38 @@
     _, now = fail(keeper, OBSERVERS, [SICK], now)
     commands, _ = fail(keeper, OBSERVERS, [SICK], now + 6_000.0)
     assert [(c.hold_ms, c.trial) for c in commands] == [(10_000.0, False)]
+
+
+def test_one_observer_beside_errors_of_others_ejects_nothing():
+    """Caught: `find` weighing all bad outcomes in place of the others' alone."""
+    keeper = Keeper(service())
+    now = usual_traffic(keeper)
+    _, now = fail(keeper, OBSERVERS[1:4], [SICK], now, times=3)
+    commands, _ = fail(keeper, OBSERVERS[:1], [SICK], now, times=100)
+    assert commands == []
+
+
+def test_suspect_observers_are_not_believed_where_the_base_rate_stands():
+    """Caught: `reported` without the test for a suspect observer."""
+    keeper = Keeper(service())
+    many = tuple(Vm(f"t{n}", Address("10.0.0.3", n), DOMAINS[n % 3]) for n in range(16))
+    now = usual_traffic(keeper)
+    keeper.handle(TargetsListed(many), now)
+    for second in range(5):
+        for name, domain in OBSERVERS:
+            counts = tuple(TargetCounts(vm.address, served=10, in_time=10) for vm in many)
+            keeper.handle(EvidenceReported(name, domain, counts), now + second * 1_000.0)
+    sick = [vm.address for vm in many[:9]]
+    commands, _ = fail(keeper, OBSERVERS[:4], sick, now + 5_000.0, times=60)
+    assert commands == []
+
+
+def test_observers_of_a_quiet_service_are_remembered():
+    keeper = Keeper(service())
+    keeper.handle(TargetsListed(VMS), 0.0)
+    for step in range(4 * len(OBSERVERS)):
+        name, domain = OBSERVERS[step % len(OBSERVERS)]
+        counts = tuple(TargetCounts(vm.address, served=1, in_time=1) for vm in VMS)
+        keeper.handle(EvidenceReported(name, domain, counts), step * 4_000.0)
+        keeper.handle(Ticked(), step * 4_000.0)
+    assert len(keeper.observers) == len(OBSERVERS)
