--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -144,7 +144,7 @@
             return vm.address if vm else None
 
         slots = EntrySlots(domain, service.slots, self.random, chooser=choose)
-        return ServiceState(pool, RetryBudget(), Gate(slots, self.clock))
+        return ServiceState(pool, RetryBudget(), Gate(slots, self.clock, service.name))
 
     def list_vms(self, vms: tuple[Vm, ...]) -> None:
         """Take in the platform's VM list; pools hear of it where it differs from the last one."""
--- a/cactusvane/fleet/membership.py
+++ b/cactusvane/fleet/membership.py
@@ -114,7 +114,7 @@
 
 def fingerprint(member: Member) -> int:
     """Return a 64-bit hash of a belief, for digests."""
-    text = f"{member.vm.name}\0{member.incarnation}\0{member.status.value}"
+    text = f"{member.vm.name}\0{member.incarnation}\0{int(member.status)}"
     return xxhash.xxh64_intdigest(text.encode())
 
 
@@ -221,7 +221,7 @@
             known = self.members.get(vm.name)
             if known is None:
                 self.store(Member(vm))
-            elif vm != known.vm and vm.name != self.name:
+            elif vm is not known.vm and vm != known.vm and vm.name != self.name:
                 self.store(replace(known, vm=vm))
         for name in before - self.listed:
             gone = self.members.get(name)
@@ -422,7 +422,7 @@
     def neighbours(self) -> list[Member]:
         """Return the members that this VM probes: its successors on the hash ring."""
         if self.ring is None:
-            present = [m for m in self.members.values() if m.status.value < Status.DEAD.value]
+            present = [m for m in self.members.values() if m.status < Status.DEAD]
             present.sort(key=lambda member: ring_position(member.vm.name))
             names = [member.vm.name for member in present]
             at = names.index(self.name) + 1 if self.name in names else 0
--- a/cactusvane/fleet/messages.py
+++ b/cactusvane/fleet/messages.py
@@ -1,13 +1,13 @@
 """What VMs tell each other about the fleet, and what a `Membership` takes and returns."""
 
 from dataclasses import dataclass
-from enum import Enum
+from enum import IntEnum
 
 from cactusvane.configuration.model import Head
 from cactusvane.fleet.vm import Address, Vm
 
 
-class Status(Enum):
+class Status(IntEnum):
     """What is believed of a member; at the same incarnation a higher value wins."""
 
     ALIVE = 0
@@ -36,7 +36,7 @@
 
     def overrides(self, other: "Member") -> bool:
         """Say whether this belief is newer than `other`."""
-        return (self.incarnation, self.status.value) > (other.incarnation, other.status.value)
+        return (self.incarnation, self.status) > (other.incarnation, other.status)
 
 
 @dataclass(frozen=True, slots=True)
--- a/cactusvane/slots/entry.py
+++ b/cactusvane/slots/entry.py
@@ -357,6 +357,8 @@
         if wanted > self.asked and self.answered >= self.awaited:
             self.awaited = self.sequence
             self.asked_ms = now
+        if late:
+            self.asked_ms = now
         self.asked = wanted
         self.reported = uses
         full = tuple(dict.fromkeys(self.full))
--- a/cactusvane/slots/gate.py
+++ b/cactusvane/slots/gate.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass, field
 from itertools import count
 
+from cactusvane import events
 from cactusvane.clock import MS_PER_SECOND, Clock
+from cactusvane.events import Event
 from cactusvane.fleet.vm import Address
 from cactusvane.pool.messages import Outcome
 from cactusvane.slots.entry import EntrySlots
@@ -53,9 +55,12 @@
         The decisions.
     clock
         The process's clock.
+    service
+        Name of the service, for the log.
     """
 
-    def __init__(self, slots: EntrySlots, clock: Clock) -> None:
+    def __init__(self, slots: EntrySlots, clock: Clock, service: str = "") -> None:
+        self.service = service
         self.slots = slots
         self.clock = clock
         self.ids = count(1)
@@ -81,7 +86,10 @@
     def tick(self) -> None:
         """Let time pass."""
         self.ticking = None
+        before = self.slots.late_until
         self.tell(Ticked())
+        if self.slots.late_until > before:
+            events.write(Event.KEEPER_LATE, service=self.service)
 
     def settle(self, request: int, target: Address | None) -> None:
         """Tell a request where it may go, or that there is no room."""
--- a/cactusvane/slots/settings.py
+++ b/cactusvane/slots/settings.py
@@ -41,18 +41,18 @@
         A target this many times slower than the service's usual latency loses a slot.
     """
 
-    busy_share: float = 0.5
+    busy_share: float = 0.7
     report_share: float = 0.1
     share_weight: float = 0.05
-    tries: int = 2
+    tries: int = 6
     queue: int = 64
     ask: int = 4
     lease_ms: float = 100.0
     late_ms: float = 10.0
     retry_ms: float = 1_000.0
     backoff_ms: float = 8.0
-    full_ms: float = 6.0
+    full_ms: float = 1.0
     reclaim_ms: float = 500.0
-    patience_ms: float = 200.0
+    patience_ms: float = 400.0
     recover_ms: float = 100.0
     slow_factor: float = 3.0
