--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -22,6 +22,8 @@
 LOAD_SECONDS = 20.0
 SEED = 1
 LEAVE_SECONDS = 3.0
+INTERRUPTED = 130
+"""Exit code after a signal."""
 
 
 class Story:
@@ -148,7 +150,10 @@
 
 def main() -> None:
     """Exit with 1 when a promise was broken."""
-    verdicts = asyncio.run(run_until_signal())
+    try:
+        verdicts = asyncio.run(run_until_signal())
+    except asyncio.CancelledError:
+        sys.exit(INTERRUPTED)
     sys.exit(0 if verdicts.good() else 1)
 
 
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -30,6 +30,8 @@
 )
 
 LEAVE_SECONDS = 3.0
+INTERRUPTED = 130
+"""Exit code after a signal."""
 SETTLE_SECONDS = 1.0
 PATIENCE_SECONDS = 8.0
 TARGETS = 5
@@ -179,7 +181,10 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--calls", type=Path, help="write the callers' ledger into this file")
     options = parser.parse_args()
-    result = asyncio.run(run_until_signal(options.seconds, options.seed))
+    try:
+        result = asyncio.run(run_until_signal(options.seconds, options.seed))
+    except asyncio.CancelledError:
+        sys.exit(INTERRUPTED)
     if options.calls:
         options.calls.write_bytes(msgspec.json.encode(result.calls))
     for finding in result.findings:
