Answer HEAD without a body; give up a close that a caller does not take

A refusal of a HEAD request carried its JSON body, which h11 does not let through, so the caller saw a reset instead of the status. A closed connection whose last bytes the caller never takes stayed for ever; it is given up after `body_ms`. Each test failed before the change.

--- a/cactusvane/http/server.py
+++ b/cactusvane/http/server.py
@@ -156,6 +156,7 @@
         self.task: asyncio.Task[None] | None = None
         self.caller = Caller()
         self.head: h11.Request | None = None
+        self.method = b""
         self.parts: list[bytes] = []
         self.size = 0
         self.pending = 0
@@ -272,6 +273,7 @@
 
     def take_head(self, head: h11.Request) -> None:
         """Check the head and wait for the body."""
+        self.method = head.method
         check_head(head)
         self.head = head
         self.reading_head = False
@@ -366,8 +368,10 @@
         return head + self.encode_data(answer.body)
 
     def encode_data(self, data: bytes) -> bytes:
-        """Return a part of the body as bytes."""
-        return (self.parser.send(h11.Data(data=data)) or b"") if data else b""
+        """Return a part of the body as bytes; an answer to HEAD has none."""
+        if not data or self.method == b"HEAD":
+            return b""
+        return self.parser.send(h11.Data(data=data)) or b""
 
     async def wait_writable(self) -> None:
         """Wait while the caller is slow; reset the connection if it takes nothing at all."""
@@ -390,6 +394,7 @@
         self.parser.start_next_cycle()
         self.caller = Caller()
         self.head = None
+        self.method = b""
         self.parts = []
         self.size = 0
         self.pending = 0
@@ -412,7 +417,7 @@
         if self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             head = h11.Response(status_code=answer.status, headers=headers)
             data = self.parser.send(head) or b""
-            data += self.parser.send(h11.Data(data=answer.body)) or b""
+            data += self.encode_data(answer.body)
             self.transport.write(data + (self.parser.send(h11.EndOfMessage()) or b""))
         self.closing = True
         if self.transport.can_write_eof():
@@ -433,9 +438,9 @@
             self.close()
 
     def close(self) -> None:
-        """Close after what was written is sent."""
+        """Close after what was written is sent, or without it if the caller does not take it."""
         self.closing = True
-        self.stop_timer()
+        self.set_timer(self.limits.body_ms, self.transport.abort)
         self.transport.close()
 
     def reset(self) -> None:
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -10,6 +10,7 @@
 
 from cactusvane.errors import BrokenAnswerError
 from cactusvane.fleet.vm import Address
+from cactusvane.http.check import bad_request
 from cactusvane.http.message import Answer, Request
 from cactusvane.http.server import Caller, Handler, Server
 from cactusvane.settings import HttpLimits
@@ -150,6 +151,73 @@
     assert b"connection: close" in asyncio.run(run()).lower()
 
 
+async def left_after(server: Server, ms: float) -> int:
+    """Return how many connections are left, at the latest after `ms`."""
+    for _ in range(int(ms / 10)):
+        if not server.connections:
+            break
+        await asyncio.sleep(0.01)
+    return len(server.connections)
+
+
+@pytest.mark.parametrize("size", [8_000_000, 1])
+def test_a_caller_that_never_reads_is_let_go(size: int) -> None:
+    async def large(request: Request, caller: Caller) -> Answer:
+        return Answer(200, (), b"x" * size)
+
+    async def run() -> int:
+        server = Server(LIMITS, large)
+        address = await server.start(Address("127.0.0.1", 0))
+        reader, writer = await asyncio.open_connection(address.host, address.port, limit=16)
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        writer.write(GOOD.replace(b"\r\n\r\n", b"\r\nconnection: close\r\n\r\n"))
+        left = await left_after(server, 5_000)
+        writer.transport.abort()
+        await server.drain(1_000)
+        return left
+
+    assert asyncio.run(run()) == 0
+
+
+def test_closing_does_not_wait_for_ever_for_what_a_caller_does_not_take() -> None:
+    async def run() -> int:
+        server = Server(LIMITS, echo)
+        address = await server.start(Address("127.0.0.1", 0))
+        reader, writer = await asyncio.open_connection(address.host, address.port, limit=16)
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        writer.write(GOOD)
+        while not server.connections:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        connection = next(iter(server.connections))
+        connection.transport.write(b"x" * 8_000_000)
+        connection.close()
+        left = await left_after(server, 5_000)
+        writer.transport.abort()
+        await server.drain(1_000)
+        return left
+
+    assert asyncio.run(run()) == 0
+
+
+def test_head_has_the_length_and_no_body() -> None:
+    reply = say(b"HEAD /a HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+    head, _, body = reply.partition(b"\r\n\r\n")
+    assert b"content-length: 7" in head
+    assert body == b""
+
+
+@pytest.mark.parametrize("path", [b"/a/../b", b"/none"])
+def test_refusals_of_head_requests_have_no_body(path: bytes) -> None:
+    async def refuse(request: Request, caller: Caller) -> Answer:
+        raise bad_request("no-route", "none", 404)
+
+    request = b"HEAD %b HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n" % path
+    head, _, body = say(request, refuse).partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 4")
+    assert body == b""
+
+
 PIECES = st.sampled_from(
     [
         GOOD,
