--- a/tests/processes/test_leaving.py
+++ b/tests/processes/test_leaving.py
@@ -73,6 +73,31 @@
     assert verdicts.good()
 
 
+def test_an_answer_that_one_entry_got_is_known_to_the_others():
+    async def run():
+        async with fleet() as running:
+            one = service("booking", targets=4, floor=2)
+            one.write(running.directory / "services")
+            await running.start_platform()
+            published = await running.publish(running.directory / "services")
+            assert published.returncode == 0, published.stderr
+            names = [await running.start_target(one.name, "Gobabis") for _ in range(one.targets)]
+            for domain in ("Gobabis", "Witvlei"):
+                await running.start_entry(domain)
+            quiet = running.in_balancer.pop("entry-1")
+            callers = running.callers(seed=33)
+            await running.leave_by_answer(names[0])
+            await callers.run(one.kinds(), 8, 20.0, BOUND_SECONDS + 1.0)
+            running.in_balancer.clear()
+            running.in_balancer["entry-1"] = quiet
+            await callers.run(one.kinds(), 8, 20.0, 1.0)
+            return running.ledgers(), running.stops
+
+    ledgers, stops = asyncio.run(run())
+    assert any(line.what == "drained" for line in ledgers[stops[0].name])
+    assert late_work(ledgers, stops, BOUND_SECONDS) == []
+
+
 def test_planned_stop_of_an_entry_cuts_nothing():
     async def run():
         async with fleet() as running:
