--- a/tests/processes/test_at_most_once.py
+++ b/tests/processes/test_at_most_once.py
@@ -26,7 +26,7 @@
     "platform-down-slow-and-forgetful": (12, PLATFORM_FAULTS),
     "paths-cut-one-way": (13, PATH_FAULTS),
     "targets-killed-frozen-and-wrong": (14, TARGET_FAULTS),
-    "all-together": (15, MIXED),
+    "all-together": (18, MIXED),
 }
 
 
