--- a/cactusvane/pool/keeper.py
+++ b/cactusvane/pool/keeper.py
@@ -161,14 +161,14 @@
     def reported(
         self, name: str, failure_domain: str, counts: tuple[TargetCounts, ...], now: float
     ) -> tuple[KeeperCommand, ...]:
-        """Weigh one observer's report."""
+        """Weigh one observer's report, once its usual traffic is known."""
         observer = self.observers.get(name)
         if observer is None:
             observer = Observer(failure_domain, self.settings, now)
             self.observers[name] = observer
         known = [count for count in counts if count.target in self.cases]
         observer.add(known, now)
-        if observer.is_suspect(len(self.cases)):
+        if not observer.rates or observer.is_suspect(len(self.cases)):
             return ()
         commands: list[KeeperCommand] = []
         for count in known:
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -141,3 +141,12 @@
         keeper.handle(EvidenceReported(name, domain, counts), step * 4_000.0)
         keeper.handle(Ticked(), step * 4_000.0)
     assert len(keeper.observers) == len(OBSERVERS)
+
+
+def test_failures_wait_until_their_observer_s_traffic_is_known():
+    """Caught: `reported` without the test for measured rates."""
+    keeper = Keeper(service())
+    now = usual_traffic(keeper)
+    strangers = tuple((f"new{n}", DOMAINS[n % 3]) for n in range(6))
+    commands, _ = fail(keeper, strangers, [SICK], now, times=40)
+    assert commands == []
