--- a/cactusvane/settings.py
+++ b/cactusvane/settings.py
@@ -80,5 +80,5 @@
     region: str = ""
     seed: int = 0
     vm_list_ms: Annotated[int, Ge(1)] = 1_000
-    head_ms: Annotated[int, Ge(1)] = 1_000
+    head_ms: Annotated[int, Ge(1)] = 500
     http: HttpLimits = field(default_factory=HttpLimits)
