Let a repeat at the same VM wait for the outcome; record outcomes before a daemon stops

A repeat at the claim's own VM was told may-have-run at once while one at another VM waited for the outcome. A stopping daemon ended with writes of outcomes in progress, and so left keys that had run as may-have-run for good.

--- a/cactusvane/claims/claiming.py
+++ b/cactusvane/claims/claiming.py
@@ -11,7 +11,7 @@
 MOST_SILENCES = 2
 """Exchanges without an answer after which the table counts as down."""
 
-WAITS_MS = (100.0, 300.0, 600.0)
+WAITS_MS = (30.0, 100.0, 300.0, 600.0)
 """How long a repeat waits for the first request's outcome before each further look."""
 
 
--- a/cactusvane/claims/claims.py
+++ b/cactusvane/claims/claims.py
@@ -10,6 +10,7 @@
     IN_PROGRESS,
     NOT_KEPT,
     REUSED,
+    WAITS_MS,
     ClaimCommand,
     ClaimEvent,
     Claiming,
@@ -171,7 +172,7 @@
         name = row_key(service.name, key)
         nonce = f"{self.vm}/{self.random.getrandbits(128):032x}"
         claim = Record(KeyState.CLAIMED, nonce, fingerprint(request))
-        recorded = self.recall(name, claim)
+        recorded = await self.recall(name, claim)
         if recorded:
             return recorded
         self.remember(name, claim)
@@ -191,18 +192,24 @@
                 self.give_back(name, claim, unsure=claiming.silences > 0)
                 raise command.to_error()
 
-    def recall(self, name: str, claim: Record) -> Recorded | None:
+    async def recall(self, name: str, claim: Record) -> Recorded | None:
         """Answer from what this VM knows of the key; raise where it may not run."""
-        known = self.recent.get(name)
-        if known is None:
-            return None
-        if known.fingerprint != claim.fingerprint:
-            raise REUSED.to_error()
-        if known.state is not KeyState.DONE or known.outcome is None:
-            raise IN_PROGRESS.to_error()
-        if known.outcome.body is None:
+        for wait_ms in (*WAITS_MS, 0.0):
+            known = self.recent.get(name)
+            if known is None:
+                return None
+            if known.fingerprint != claim.fingerprint:
+                raise REUSED.to_error()
+            if known.outcome:
+                return self.answer_known(known.outcome)
+            await asyncio.sleep(wait_ms / MS_PER_SECOND)
+        raise IN_PROGRESS.to_error()
+
+    def answer_known(self, outcome: Outcome) -> Recorded:
+        """Return the answer that was kept; raise where it was too large to keep."""
+        if outcome.body is None:
             raise NOT_KEPT.to_error()
-        return Recorded(known.outcome)
+        return Recorded(outcome)
 
     def remember(self, name: str, record: Record) -> None:
         """Keep what this VM knows of a key, and forget the oldest."""
@@ -274,6 +281,11 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    async def drain(self, within_ms: float) -> None:
+        """Wait for the writes in progress, before the process ends."""
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=within_ms / MS_PER_SECOND)
+
     async def write(self, name: str, claim: Record, record: Record) -> None:
         """Put `record` in place of `claim`, trying until the table says how it stands."""
         if record.state is KeyState.RELEASED:
--- a/cactusvane/daemon.py
+++ b/cactusvane/daemon.py
@@ -53,6 +53,9 @@
 LIST_READS_PER_SECOND = 1_000.0
 """Reads of the VM list that the whole fleet may do."""
 
+CLAIMS_DRAIN_MS = 3_000
+"""How long a stopping daemon waits until outcomes of keyed requests are recorded."""
+
 USAGE_ERROR = 2
 GC_THRESHOLD = 50_000
 """Allocations between garbage collections; requests leave few cycles behind."""
@@ -248,6 +251,7 @@
         self.server.leave()
         await asyncio.sleep(LEAVING_MS / MS_PER_SECOND)
         await self.server.drain(DRAIN_MS)
+        await self.claims.drain(CLAIMS_DRAIN_MS)
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/tests/claims/test_claims.py
+++ b/tests/claims/test_claims.py
@@ -30,6 +30,7 @@
 def run(monkeypatch: pytest.MonkeyPatch) -> Callable[[Check], None]:
     monkeypatch.setattr(shell, "RELEASE_PAUSE_MS", 0.0)
     monkeypatch.setattr(shell, "RETRY_MS", 1.0)
+    monkeypatch.setattr(shell, "WAITS_MS", (1.0, 1.0))
 
     def start(check: Check) -> None:
         platform = FakePlatform()
@@ -82,6 +83,20 @@
     run(check)
 
 
+def test_a_repeat_at_the_same_vm_waits_for_the_outcome(run):
+    async def check(platform, at):
+        one = at("vm-1")
+        held = await hold(one)
+        repeat = asyncio.create_task(one.begin(service(), REQUEST, KEY, 1_000.0))
+        await asyncio.sleep(0)
+        one.end(held, Verdict.RAN, to_outcome(ANSWER))
+        assert isinstance(await repeat, Recorded)
+        await one.drain(1_000.0)
+        assert not one.tasks
+
+    run(check)
+
+
 def test_a_release_that_comes_late_leaves_the_next_claim_alone(run):
     async def check(platform, at):
         one, two = at("vm-1"), at("vm-2")
