Pass a target's own word that it is leaving to all entries

Ruled out: waiting for the VM list, which lags or is down; gossip, which takes more rounds than the keeper's streams. Change: the entry reports each such answer to the keeper, the keeper tells all; what was heard is not reported again. A keeper that is cut off costs one refused request per entry. The unit test on the answer's commands expected only the closing of idle connections; it now expects the report as well, to the letter.

--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -31,6 +31,7 @@
     Probe,
     ProbeEnded,
     ReportEvidence,
+    ReportLeaving,
     Returned,
     SelfCleared,
     SelfSuspected,
@@ -103,7 +104,7 @@
         self.services: dict[str, ServiceState] = {}
         self.entries = 0
         self.listed: dict[str, tuple[Vm, ...]] = {}
-        self.report: Callable[[ReportEvidence], None] | None = None
+        self.report: Callable[[ReportEvidence | ReportLeaving], None] | None = None
         self.cut_off: set[str] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -184,7 +185,7 @@
     def execute(self, command: PoolCommand, service: str) -> None:
         """Carry out one command of a pool."""
         match command:
-            case ReportEvidence():
+            case ReportEvidence() | ReportLeaving():
                 if self.report:
                     self.report(command)
             case Probe(target):
--- a/cactusvane/peers/codec.py
+++ b/cactusvane/peers/codec.py
@@ -27,9 +27,10 @@
     ServiceAsk,
     ServiceCredits,
     ServiceEjection,
+    ServiceLeaving,
     ServiceReturn,
 )
-from cactusvane.pool.messages import Ejection, Outcome, ReportEvidence, TargetCounts
+from cactusvane.pool.messages import Ejection, Outcome, ReportEvidence, ReportLeaving, TargetCounts
 from cactusvane.slots.messages import Ask, Credit, CreditsAnswered, CreditUse, Use
 
 
@@ -151,6 +152,9 @@
         case ReportEvidence(service, counts):
             packed = [pack_counts(each) for each in counts]
             return pb.EntryMessage(evidence=pb.Evidence(service=service, counts=packed))
+        case ReportLeaving(service, target):
+            leaving = pb.Leaving(service=service, target=pack_address(target))
+            return pb.EntryMessage(leaving=leaving)
         case ServiceAsk(service, ask):
             return pb.EntryMessage(ask=pack_ask(service, ask))
 
@@ -163,6 +167,9 @@
         case "evidence":
             counts = tuple(unpack_counts(each) for each in message.evidence.counts)
             return ReportEvidence(message.evidence.service, counts)
+        case "leaving":
+            target = unpack_address(message.leaving.target)
+            return ReportLeaving(message.leaving.service, target)
         case "ask":
             return ServiceAsk(message.ask.service, unpack_ask(message.ask))
         case other:
@@ -236,6 +243,9 @@
         case ServiceReturn(service, target):
             returned = pb.Return(service=service, target=pack_address(target))
             return pb.KeeperMessage(returned=returned)
+        case ServiceLeaving(service, target):
+            leaving = pb.Leaving(service=service, target=pack_address(target))
+            return pb.KeeperMessage(leaving=leaving)
         case ServiceCredits(service, answer):
             return pb.KeeperMessage(credits=pack_credits(service, answer))
 
@@ -248,6 +258,9 @@
         case "returned":
             target = unpack_address(message.returned.target)
             return ServiceReturn(message.returned.service, target)
+        case "leaving":
+            target = unpack_address(message.leaving.target)
+            return ServiceLeaving(message.leaving.service, target)
         case "credits":
             return ServiceCredits(message.credits.service, unpack_credits(message.credits))
         case other:
--- a/cactusvane/peers/messages.py
+++ b/cactusvane/peers/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from cactusvane.fleet.vm import Address
-from cactusvane.pool.messages import Ejection, ReportEvidence
+from cactusvane.pool.messages import Ejection, ReportEvidence, ReportLeaving
 from cactusvane.slots.messages import Ask, CreditsAnswered
 
 
@@ -23,7 +23,7 @@
     ask: Ask
 
 
-EntryMessage = Hello | ReportEvidence | ServiceAsk
+EntryMessage = Hello | ReportEvidence | ReportLeaving | ServiceAsk
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +42,14 @@
     target: Address
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceLeaving:
+    """A keeper's word that a target of a service answered that it is leaving."""
+
+    service: str
+    target: Address
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceCredits:
     """A keeper's answer to an ask, or a later grant."""
@@ -50,4 +58,4 @@
     answer: CreditsAnswered
 
 
-KeeperMessage = ServiceEjection | ServiceReturn | ServiceCredits
+KeeperMessage = ServiceEjection | ServiceReturn | ServiceLeaving | ServiceCredits
--- a/cactusvane/peers/node.py
+++ b/cactusvane/peers/node.py
@@ -44,10 +44,18 @@
     ServiceAsk,
     ServiceCredits,
     ServiceEjection,
+    ServiceLeaving,
     ServiceReturn,
 )
 from cactusvane.peers.server import EntryLink, PeerServer
-from cactusvane.pool.messages import EjectionHeard, ReportEvidence, ReturnHeard
+from cactusvane.pool.messages import (
+    EjectionHeard,
+    LeavingNoticed,
+    NoticeSource,
+    ReportEvidence,
+    ReportLeaving,
+    ReturnHeard,
+)
 from cactusvane.settings import Settings
 from cactusvane.slots.messages import Ask, FleetSized, KeeperChanged
 
@@ -228,6 +236,8 @@
             case ReportEvidence(service, counts) if service in self.cells:
                 cell = self.cells[service]
                 self.execute_all(cell.report(hello.vm, hello.failure_domain, counts, now))
+            case ReportLeaving(service, target) if service in self.cells:
+                self.execute_all((ToAll(ServiceLeaving(service, target)),))
             case ServiceAsk(service, ask) if service in self.cells:
                 cell = self.cells[service]
                 self.execute_all(cell.ask(hello.vm, hello.failure_domain, ask, now))
@@ -353,9 +363,9 @@
             if keeper.peer == peer and service in self.entry.services:
                 self.show_keeper(service)
 
-    def report(self, evidence: ReportEvidence) -> None:
-        """Send the pool's evidence to the keeper."""
-        self.send(evidence.service, evidence)
+    def report(self, report: ReportEvidence | ReportLeaving) -> None:
+        """Send what the pool has to report to the keeper."""
+        self.send(report.service, report)
 
     def ask(self, service: str, ask: Ask) -> None:
         """Send the gate's ask to the keeper."""
@@ -388,6 +398,8 @@
                 self.entry.tell(state.pool, EjectionHeard(ejection))
             case ServiceReturn(_, target):
                 self.entry.tell(state.pool, ReturnHeard(target))
+            case ServiceLeaving(_, target):
+                self.entry.tell(state.pool, LeavingNoticed(target, NoticeSource.ANSWER))
             case ServiceCredits(_, answer):
                 state.gate.tell(answer)
 
--- a/cactusvane/pool/messages.py
+++ b/cactusvane/pool/messages.py
@@ -205,6 +205,14 @@
     counts: tuple[TargetCounts, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ReportLeaving:
+    """Tell the keeper of the service that a target answered that it is leaving."""
+
+    service: str
+    target: Address
+
+
 @dataclass(frozen=True, slots=True)
 class SelfSuspected:
     """Most targets look unreachable from here, so the fault is likely this VM's own path."""
@@ -219,7 +227,16 @@
     service: str
 
 
-PoolCommand = CloseIdle | Ejected | Returned | Probe | ReportEvidence | SelfSuspected | SelfCleared
+PoolCommand = (
+    CloseIdle
+    | Ejected
+    | Returned
+    | Probe
+    | ReportEvidence
+    | ReportLeaving
+    | SelfSuspected
+    | SelfCleared
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/cactusvane/pool/pool.py
+++ b/cactusvane/pool/pool.py
@@ -23,6 +23,7 @@
     PoolEvent,
     Probe,
     ProbeEnded,
+    ReportLeaving,
     Returned,
     ReturnHeard,
     SelfCleared,
@@ -217,7 +218,7 @@
         self.path.add(event.target, event.outcome)
         if event.outcome is Outcome.DRAINING:
             self.notice(event.target, NoticeSource.ANSWER, now)
-            return self.refresh(now)
+            return (*self.refresh(now), ReportLeaving(self.service.name, event.target))
         counts = self.count(state, event, counted, now)
         return () if counts is None else self.learn(state, counts, now)
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -17,6 +17,7 @@
     Probe,
     ProbeEnded,
     ReportEvidence,
+    ReportLeaving,
     Returned,
     ReturnHeard,
     SelfCleared,
@@ -151,10 +152,16 @@
             commands = pool.handle(ServiceChanged(changed), 1.0)
         case _:
             commands = pool.handle(LeavingNoticed(SICK, NoticeSource.LIST), 1.0)
-    assert commands == (CloseIdle(SICK),)
+    report = (ReportLeaving("records", SICK),) if source == "answer" else ()
+    assert commands == (CloseIdle(SICK), *report)
     assert all(pool.choose(2.0, idempotent=True).address != SICK for _ in range(200))
 
 
+def test_a_notice_heard_from_others_is_not_reported_again():
+    commands = listed_pool().handle(LeavingNoticed(SICK, NoticeSource.ANSWER), 1.0)
+    assert commands == (CloseIdle(SICK),)
+
+
 def test_notice_before_the_list_is_kept():
     pool = Pool(service(), "Gobabis", Random(1))
     pool.handle(LeavingNoticed(SICK, NoticeSource.LIST), 0.0)
