--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -19,7 +19,17 @@
 from cactusvane.configuration.tree import Tree, build, read
 from cactusvane.fleet.assignment import Assignment
 from cactusvane.fleet.membership import Membership
-from cactusvane.fleet.messages import Envelope, Listed, Member, Received, Rumor, Status
+from cactusvane.fleet.messages import (
+    Ack,
+    Envelope,
+    Listed,
+    Member,
+    Ping,
+    Received,
+    Rumor,
+    Send,
+    Status,
+)
 from cactusvane.fleet.messages import Ticked as FleetTicked
 from cactusvane.pool.keeper import Keeper
 from cactusvane.pool.messages import (
@@ -112,6 +122,14 @@
     return spent
 
 
+def put_in_force(size: int) -> float:
+    """Measure moving a table of `size` routes to a configuration with one service changed."""
+    before, after = with_one_change(size)
+    table = RoutingTable(before.configuration)
+    versions = itertools.cycle([after.configuration, before.configuration])
+    return cpu_us(lambda: table.replace(next(versions)), 20)
+
+
 def filled_pool(size: int) -> Pool:
     """Return a pool of `size` targets."""
     pool = Pool(service(0), "zone-0", Random(1))
@@ -164,8 +182,18 @@
 def tick_membership(size: int) -> float:
     """Measure one tick of a fleet in which nothing happens."""
     membership = filled_membership(size)
-    now = itertools.count(10_000_000, 100)
-    return cpu_us(lambda: membership.handle(FleetTicked(), float(next(now))), 200)
+    by_peer = {vm.peer: vm for vm in members(size)}
+    now = itertools.count(100, 100)
+
+    def one() -> None:
+        moment = float(next(now))
+        for command in membership.handle(FleetTicked(), moment):
+            match command:
+                case Send(to, Envelope(_, Ping(nonce))):
+                    answer = Envelope(Member(by_peer[to]), Ack(nonce))
+                    membership.handle(Received(answer), moment + 1.0)
+
+    return cpu_us(one, 200)
 
 
 def hear_death(size: int) -> float:
@@ -205,6 +233,7 @@
         sweep("find a route", SIZES, "route", find_route),
         sweep("change a service's routes", SIZES, "route", change_service),
         sweep("read a change", SIZES, "route", read_change),
+        sweep("put a change in force", SIZES, "route", put_in_force),
         sweep("decide a request", POOL_SIZES, "target", request),
         sweep("tick a pool", POOL_SIZES, "target", tick_pool),
         sweep("report at a keeper", POOL_SIZES, "target", report_to_keeper),
