--- a/cactusvane/journey.py
+++ b/cactusvane/dispatch.py
@@ -1,4 +1,4 @@
-"""One request on its way: slot, exchange, answer, and again where that is harmless."""
+"""The dispatch of one request: slot, exchange, answer, and again where that is harmless."""
 
 import asyncio
 from functools import partial
@@ -55,8 +55,8 @@
     return min(match.route.deadline_ms, int(text))
 
 
-class Journey:
-    """One request on its way through an entry.
+class Dispatch:
+    """One request and its attempts at targets.
 
     Parameters
     ----------
--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -10,6 +10,7 @@
 from cactusvane.clock import Clock
 from cactusvane.configuration.model import Configuration, Service
 from cactusvane.configuration.routes import RoutingTable
+from cactusvane.dispatch import Dispatch
 from cactusvane.errors import ExchangeError
 from cactusvane.events import Event
 from cactusvane.fleet.vm import Address, Vm
@@ -18,7 +19,6 @@
 from cactusvane.http.connection import TargetConnections, spares_allowed
 from cactusvane.http.message import Answer, Request
 from cactusvane.http.server import Caller
-from cactusvane.journey import Journey
 from cactusvane.keyed import Keyed, find_key
 from cactusvane.metrics import Recorder
 from cactusvane.pool.messages import (
@@ -254,12 +254,12 @@
         if match.route.idempotent:
             task = asyncio.current_task()
             caller.on_gone = task.cancel if task else None
-        journey = Journey(self, match, request)
+        dispatch = Dispatch(self, match, request)
         key = None if match.route.idempotent else find_key(request)
         if key is None or self.claims is None:
-            return await journey.run()
-        return await journey.run_keyed(
-            self.claims, Keyed(match.service, request, key, journey.time_ms)
+            return await dispatch.run()
+        return await dispatch.run_keyed(
+            self.claims, Keyed(match.service, request, key, dispatch.time_ms)
         )
 
 
