--- /dev/null
+++ b/bench/tradeoff.py
@@ -0,0 +1,106 @@
+"""Detection time against false ejections, over the weights: ``python -m bench.tradeoff``.
+
+Prints a table, writes the curve as SVG, and ends with one line of JSON.
+"""
+
+import argparse
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from bench.decisions import SEEDS, WORKERS, calm, measure, summarize
+from bench.faults import SCENARIOS, Scenario
+from bench.model import Policy
+from bench.plot import Axis, Curve, Mark, render
+from cactusvane.configuration.model import Health
+
+RATIOS = (0.0001, 0.01, 1.0, 100.0, 10_000.0)
+"""Weights of a false ejection against detection."""
+
+FAULTS = ("fails 100%", "fails 30%", "fails 5%")
+HOURS = 100.0
+PICTURE = Path("docs/dev/tradeoff.svg")
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """What one ratio of the weights gives.
+
+    Parameters
+    ----------
+    ratio
+        Weight of a false ejection over the weight of detection.
+    per_hour
+        Healthy targets that the keeper ejects in an hour without faults.
+    last_new_ms
+        Median and worst time to the last new request, for each of `FAULTS`.
+    """
+
+    ratio: float
+    per_hour: float
+    last_new_ms: tuple[tuple[float, float], ...]
+
+
+def choose(workers: ProcessPoolExecutor, ratio: float, seeds: int, hours: float) -> Choice:
+    """Measure one ratio."""
+    health = Health(detection_weight=1.0, false_ejection_weight=ratio)
+    stretch = calm(workers, health, seeds, hours)
+    policy = Policy("pooled", health)
+    times = tuple(detect(workers, find(name), policy, seeds) for name in FAULTS)
+    return Choice(ratio, stretch.by_keeper / stretch.hours, times)
+
+
+def find(name: str) -> Scenario:
+    """Return the scenario called `name`."""
+    return next(scenario for scenario in SCENARIOS if scenario.name == name)
+
+
+def detect(
+    workers: ProcessPoolExecutor, scenario: Scenario, policy: Policy, seeds: int
+) -> tuple[float, float]:
+    """Return median and worst time to the last new request, in milliseconds."""
+    jobs = [(scenario, policy, seed) for seed in range(1, seeds + 1)]
+    return summarize(list(workers.map(measure, jobs)))["last_new_ms"]
+
+
+def picture(choices: list[Choice], hours: float) -> str:
+    """Return the curve for each fault; none in all hours is drawn at half of one."""
+    least = 0.5 / hours
+    curves = tuple(
+        Curve(
+            name,
+            tuple(
+                Mark(max(least, choice.per_hour), choice.last_new_ms[place][0], f"{choice.ratio:g}")
+                for choice in choices
+            ),
+        )
+        for place, name in enumerate(FAULTS)
+    )
+    return render(
+        "Weight of a false ejection, against detection: 0.0001 to 10,000",
+        Axis(f"healthy targets ejected in an hour (left edge: none in {hours:g} h)", 0.001, 10.0),
+        Axis("ms to the last new request, median", 10.0, 10_000.0),
+        curves,
+    )
+
+
+def main() -> None:
+    """Measure all ratios."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=SEEDS)
+    parser.add_argument("--hours", type=float, default=HOURS)
+    options = parser.parse_args()
+    choices = []
+    with ProcessPoolExecutor(WORKERS) as workers:
+        for ratio in RATIOS:
+            choice = choose(workers, ratio, options.seeds, options.hours)
+            print(choice, flush=True)
+            choices.append(choice)
+    PICTURE.write_text(picture(choices, options.hours))
+    print(msgspec.json.encode(choices).decode())
+
+
+if __name__ == "__main__":
+    main()
