--- a/bench/tradeoff.py
+++ b/bench/tradeoff.py
@@ -80,7 +80,7 @@
     )
     return render(
         "Weight of a false ejection, against detection: 0.0001 to 10,000",
-        Axis(f"healthy targets ejected in an hour (left edge: none in {hours:g} h)", 0.001, 10.0),
+        Axis(f"healthy targets ejected in an hour ({least:g}: none in {hours:g} h)", 0.001, 10.0),
         Axis("ms to the last new request, median", 10.0, 10_000.0),
         curves,
     )
