--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -193,6 +193,7 @@
             case CloseIdle(target):
                 self.connections.close_idle(target)
             case Ejected(target, reason):
+                self.recorder.ejected(service)
                 events.write(Event.TARGET_EJECTED, service=service, target=target, reason=reason)
             case Returned(target):
                 events.write(Event.TARGET_RETURNED, service=service, target=target)
--- a/cactusvane/metrics.py
+++ b/cactusvane/metrics.py
@@ -95,6 +95,7 @@
     def __init__(self) -> None:
         self.kinds: dict[tuple[str, str], KindRecord] = {}
         self.refused: dict[str, int] = {}
+        self.ejections: dict[str, int] = {}
 
     def kind(self, service: str, kind: str) -> KindRecord:
         """Return the record of one kind of one service."""
@@ -107,6 +108,10 @@
         """Note a request that belongs to no service."""
         self.refused[code] = self.refused.get(code, 0) + 1
 
+    def ejected(self, service: str) -> None:
+        """Note that this VM takes a target of a service out on evidence."""
+        self.ejections[service] = self.ejections.get(service, 0) + 1
+
     def collect(self) -> list[CounterMetricFamily | SummaryMetricFamily]:
         """Return everything in the form of the Prometheus client."""
         labels = ("service", "kind")
@@ -122,6 +127,11 @@
         refused = CounterMetricFamily(
             "cactusvane_refused", "Requests of no service", labels=("code",)
         )
+        ejections = CounterMetricFamily(
+            "cactusvane_ejections", "Targets taken out on evidence", labels=("service",)
+        )
+        for service, count in self.ejections.items():
+            ejections.add_metric((service,), count)
         for code, count in self.refused.items():
             refused.add_metric((code,), count)
         for key, record in self.kinds.items():
@@ -131,7 +141,7 @@
                 statuses.add_metric((*key, f"{group}xx"), count)
             for outcome, count in record.attempts.items():
                 attempts.add_metric((*key, outcome.value), count)
-        return [requests, statuses, attempts, refused, *self.summaries()]
+        return [requests, statuses, attempts, refused, ejections, *self.summaries()]
 
     def summaries(self) -> list[SummaryMetricFamily]:
         """Return the histograms as quantiles in milliseconds."""
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,35 @@
+from random import Random
+
+from cactusvane.clock import ManualClock
+from cactusvane.configuration.model import Configuration, Route, Service
+from cactusvane.entry import Entry
+from cactusvane.fleet.vm import Address
+from cactusvane.metrics import Recorder
+from cactusvane.pool.messages import Ejected, Outcome
+from cactusvane.settings import Settings
+from cactusvane.verdict import Verdict
+
+ANY = Address("127.0.0.1", 0)
+SERVICE = Service("records", ("a",), (Route("/", ("GET",), True, "read"),), 3, 2, 4)
+
+
+def test_what_happened_is_in_the_text_by_service_and_kind():
+    recorder = Recorder()
+    record = recorder.kind("records", "read")
+    record.answered(200, Verdict.RAN, 12.5, 0.4)
+    record.attempted(Outcome.SERVED)
+    record.waited_for_slot(3.0)
+    text = recorder.text().decode()
+    labels = 'kind="read",service="records"'
+    assert f'cactusvane_requests_total{{{labels},verdict="ran"}} 1.0' in text
+    assert 'cactusvane_attempts_total{kind="read",outcome="served",service="records"} 1.0' in text
+    assert f"cactusvane_waited_ms_count{{{labels}}} 1.0" in text
+    assert f"cactusvane_added_ms_count{{{labels}}} 1.0" in text
+
+
+def test_an_ejection_is_counted_for_its_service():
+    settings = Settings("e1", "Gobabis", ANY, ANY, ANY, ANY)
+    entry = Entry(settings, ManualClock(), Random(1), Recorder())
+    entry.configure(Configuration((SERVICE,)))
+    entry.execute(Ejected(ANY, "failing"), "records")
+    assert 'cactusvane_ejections_total{service="records"} 1.0' in entry.recorder.text().decode()
