--- a/cactusvane/http/client.py
+++ b/cactusvane/http/client.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from cactusvane.clock import MS_PER_SECOND
 from cactusvane.errors import BrokenAnswerError, ConnectError
 from cactusvane.fleet.vm import Address
 from cactusvane.http.message import Answer, Headers, Request, find_header
@@ -431,7 +432,7 @@
     request = Request(method, target, headers, body)
     connection: ClientConnection | None = None
     try:
-        async with asyncio.timeout(timeout_ms / 1000.0):
+        async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
             connection = await connect(address, limits)
             return await whole(await connection.exchange(request), limits)
     except TimeoutError as error:
--- a/cactusvane/pool/keeper.py
+++ b/cactusvane/pool/keeper.py
@@ -23,10 +23,7 @@
 )
 from cactusvane.pool.observer import Observer
 from cactusvane.pool.quarantine import HoldDown, Quarantine, Trial, TrialResult
-from cactusvane.pool.settings import PoolSettings, threshold
-
-SLOW_SEVERITY = 0.5
-"""A slow target is less sick than one that fails as often."""
+from cactusvane.pool.settings import SLOW_SEVERITY, PoolSettings, threshold
 
 CLEARING = -2.0
 """Log-likelihood ratio below which a failure domain's observers clear a target."""
@@ -43,8 +40,6 @@
 CREDIT_GAP_MS = 500.0
 """Least time between two credits without a bad outcome."""
 
-MS_PER_SECOND = 1_000.0
-
 
 @dataclass(frozen=True, slots=True)
 class Finding:
--- a/cactusvane/pool/pool.py
+++ b/cactusvane/pool/pool.py
@@ -36,15 +36,12 @@
 from cactusvane.pool.own_path import PATH_FAILURES, PROBE_GAP_MS, OwnPath
 from cactusvane.pool.quarantine import Quarantine, Trial, TrialResult
 from cactusvane.pool.reporter import Reporter
-from cactusvane.pool.settings import PoolSettings, threshold
+from cactusvane.pool.settings import SLOW_SEVERITY, PoolSettings, threshold
 from cactusvane.pool.target import TargetState
 
 FAILED = PATH_FAILURES | {Outcome.FAILED}
 """Outcomes that speak against a target; a shed request does not."""
 
-SLOW_SEVERITY = 0.5
-"""A slow target is less sick than one that fails as often."""
-
 DOUBT_MS = 2_000.0
 """How long the last bad outcome makes a target look busier."""
 
--- a/cactusvane/pool/settings.py
+++ b/cactusvane/pool/settings.py
@@ -5,6 +5,9 @@
 
 from cactusvane.configuration.model import Health
 
+SLOW_SEVERITY = 0.5
+"""A slow target is less sick than one that fails as often."""
+
 
 @dataclass(frozen=True, slots=True)
 class StreamSettings:
