Ask the fleet's admin ports in one place; drop the stored form that the tree replaced

Cause: asking all VMs for status and for burn figures was the same bounded loop twice; encode and decode of a whole configuration had no caller left since it is stored as a tree, and the tree worked out a service's digest beside digest_service. Behaviour and digests stay as they were.

--- a/cactusvane/configuration/digest.py
+++ b/cactusvane/configuration/digest.py
@@ -1,21 +1,10 @@
-"""Stored form and content digest of a configuration."""
+"""Content digests of stored objects and of services."""
 
 from hashlib import sha256
 
 import msgspec
 
-from cactusvane.configuration.model import Configuration, Service
-
-
-def encode(configuration: Configuration) -> bytes:
-    """Return the stored form: JSON, services by name, so equal content has equal bytes."""
-    services = tuple(sorted(configuration.services, key=lambda service: service.name))
-    return msgspec.json.encode(Configuration(services))
-
-
-def decode(data: bytes) -> Configuration:
-    """Return the configuration stored as `data`; raise `msgspec.DecodeError` for other bytes."""
-    return msgspec.json.decode(data, type=Configuration)
+from cactusvane.configuration.model import Service
 
 
 def digest(data: bytes) -> str:
--- a/cactusvane/configuration/tree.py
+++ b/cactusvane/configuration/tree.py
@@ -17,7 +17,7 @@
 import msgspec
 import xxhash
 
-from cactusvane.configuration.digest import digest
+from cactusvane.configuration.digest import digest, digest_service
 from cactusvane.configuration.model import Configuration, Service
 from cactusvane.errors import DigestError
 
@@ -112,7 +112,7 @@
     named: list[list[ServiceDigest]] = [[] for _ in range(SHARDS)]
     services: dict[str, Service] = {}
     for service in sorted(configuration.services, key=lambda service: service.name):
-        key = digest(msgspec.json.encode(service))
+        key = digest_service(service)
         services[key] = service
         named[place(service.name)].append(ServiceDigest(service.name, key))
     shards = [Shard(tuple(names)) for names in named]
--- a/cactusvane/ui/fleet.py
+++ b/cactusvane/ui/fleet.py
@@ -57,31 +57,25 @@
 
 async def ask_all(vms: tuple[Vm, ...]) -> tuple[VmReport, ...]:
     """Ask every VM for its status, a bounded number at once."""
-    limit = asyncio.Semaphore(AT_ONCE)
-
-    async def ask_one(vm: Vm) -> VmReport:
-        async with limit:
-            return VmReport(vm, await ask_status(vm.admin) if vm.admin else None)
-
-    return tuple(await asyncio.gather(*(ask_one(vm) for vm in vms)))
-
-
-async def ask_status(address: Address) -> Status | None:
-    """Return what the VM at `address` says of itself, or None where it does not answer."""
-    return await ask(address, "/status", Status)
+    found = await ask_each(vms, "/status", Status)
+    return tuple(VmReport(vm, status) for vm, status in zip(vms, found, strict=True))
 
 
 async def ask_buckets(vms: tuple[Vm, ...]) -> tuple[Bucket, ...]:
     """Return what the VMs have counted for the burn report and not stored yet."""
+    found = await ask_each(vms, "/burn", tuple[Bucket, ...])
+    return tuple(bucket for buckets in found for bucket in buckets or ())
+
+
+async def ask_each(vms: tuple[Vm, ...], path: str, kind: type[T]) -> list[T | None]:
+    """Ask the admin port of every VM, a bounded number at once; None for those silent."""
     limit = asyncio.Semaphore(AT_ONCE)
 
-    async def ask_one(vm: Vm) -> tuple[Bucket, ...]:
+    async def ask_one(vm: Vm) -> T | None:
         async with limit:
-            buckets = await ask(vm.admin, "/burn", tuple[Bucket, ...]) if vm.admin else None
-            return buckets or ()
+            return await ask(vm.admin, path, kind) if vm.admin else None
 
-    found = await asyncio.gather(*(ask_one(vm) for vm in vms))
-    return tuple(bucket for buckets in found for bucket in buckets)
+    return await asyncio.gather(*(ask_one(vm) for vm in vms))
 
 
 async def ask(address: Address, path: str, kind: type[T]) -> T | None:
