Log each request and target change; test placement, table copies and the adapter

Change: one line for each request with the inputs of its last attempt, one for each attempt that went wrong, one for each target listed or gone; tests without the bench for placement under lost capacity, gray and slow targets, for shared loads with lost and doubled notices, for copies of tables, and for the adapter against a stand-in of the store.

--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -1,13 +1,16 @@
 """The dispatch of one request: slot, exchange, answer, and again where that is harmless."""
 
 import asyncio
+from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING
 
+from cactusvane import events
 from cactusvane.claims.claims import Claims, Held
 from cactusvane.clock import MS_PER_SECOND
 from cactusvane.configuration.routes import Match
 from cactusvane.errors import BrokenAnswerError, ConnectError, RequestError
+from cactusvane.events import Event
 from cactusvane.fleet.vm import Address
 from cactusvane.http.check import bad_request
 from cactusvane.http.client import ClientConnection
@@ -16,7 +19,7 @@
 from cactusvane.http.stream import RelayedStream
 from cactusvane.keyed import Keyed, run_keyed
 from cactusvane.metrics import KindRecord
-from cactusvane.placement.messages import Demand
+from cactusvane.placement.messages import Demand, Inputs
 from cactusvane.pool.messages import Outcome
 from cactusvane.report.order import in_good_order, objective_of
 from cactusvane.request.admission import Ticket
@@ -54,6 +57,31 @@
     return min(match.route.deadline_ms, int(text))
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptNote:
+    """One attempt as the log shows it.
+
+    Parameters
+    ----------
+    target
+        Name of the target, or its address where it has none.
+    address
+        Where the request was sent.
+    outcome
+        How it ended.
+    latency_ms
+        How long it took.
+    inputs
+        What the target was chosen by.
+    """
+
+    target: str
+    address: str
+    outcome: str
+    latency_ms: float
+    inputs: Inputs | None
+
+
 class Dispatch:
     """One request and its attempts at targets.
 
@@ -99,6 +127,8 @@
         )
         self.held: Held | None = None
         self.tried: frozenset[Address] = frozenset()
+        self.request_id = (request.header(self.vocabulary.request_id) or b"").decode("latin-1")
+        self.last_attempt: AttemptNote | None = None
         self.answer: Answer | None = None
         self.ticket: Ticket | None = None
 
@@ -115,10 +145,10 @@
         match command:
             case Deliver():
                 assert self.answer is not None
-                self.count(self.answer.status, Verdict.RAN)
+                self.count(self.answer.status, Verdict.RAN, "answered")
                 return self.answer
             case Refuse(status, code, text, verdict, retry_after_ms):
-                self.count(status, verdict)
+                self.count(status, verdict, code)
                 raise RequestError(status, code, text, verdict, retry_after_ms)
 
     async def run_keyed(self, claims: Claims, keyed: Keyed) -> Answer:
@@ -132,19 +162,34 @@
             answer = await run_keyed(claims, keyed, run)
         except RequestError as error:
             if self.held is None:
-                self.count(error.status, error.verdict)
+                self.count(error.status, error.verdict, error.code)
             raise
         if self.held is None:
-            self.count(answer.status, Verdict.RAN)
+            self.count(answer.status, Verdict.RAN, "replayed")
         return answer
 
-    def count(self, status: int, verdict: Verdict) -> None:
+    def count(self, status: int, verdict: Verdict, code: str) -> None:
         """Record what the caller is told, after the answer is on its way."""
         total = self.clock.now() - self.started
-        asyncio.get_running_loop().call_soon(self.record_end, status, verdict, total)
-
-    def record_end(self, status: int, verdict: Verdict, total_ms: float) -> None:
-        """Add the request to the metrics and to the burn report."""
+        asyncio.get_running_loop().call_soon(self.record_end, status, verdict, code, total)
+
+    def record_end(self, status: int, verdict: Verdict, code: str, total_ms: float) -> None:
+        """Add the request to the log, the metrics and the burn report."""
+        events.write(
+            Event.REQUEST_ENDED,
+            request=self.request_id,
+            status=status,
+            verdict=verdict.value,
+            code=code,
+            service=self.service.name,
+            kind=self.route.kind,
+            total_ms=round(total_ms, 1),
+            waited_ms=round(self.waited, 1),
+            time_ms=self.time_ms,
+            attempts=len(self.tried),
+            last=self.last_attempt,
+            configuration=self.entry.version,
+        )
         self.record.answered(status, verdict, total_ms, total_ms - self.at_targets)
         self.record.waited_for_slot(self.waited)
         service, kind = self.service, self.route.kind
@@ -161,6 +206,7 @@
         self.tried |= {address}
         started = self.clock.now()
         outcome = Outcome.CANCELLED
+        result: AttemptResult | None = None
         try:
             result = await self.exchange(address, command)
             outcome = self.outcome(result)
@@ -168,11 +214,37 @@
         finally:
             latency = self.clock.now() - started
             self.at_targets += latency
+            self.note_attempt(address, outcome, result, latency)
             if outcome is Outcome.SERVED and not self.streams:
                 self.end_soon(address, latency)
             elif not self.streams:
                 self.end(address, latency, outcome)
 
+    def note_attempt(
+        self, address: Address, outcome: Outcome, result: AttemptResult | None, latency: float
+    ) -> None:
+        """Keep what decided an attempt for the log; one that went wrong has its own line."""
+        place = self.ticket.place if self.ticket else None
+        self.last_attempt = AttemptNote(
+            target=place.name if place else str(address),
+            address=str(address),
+            outcome=outcome.value,
+            latency_ms=round(latency, 1),
+            inputs=place.inputs if place else None,
+        )
+        if outcome is not Outcome.SERVED:
+            events.write(
+                Event.REQUEST_ATTEMPTED,
+                request=self.request_id,
+                target=self.last_attempt.target,
+                outcome=outcome.value,
+                reason=result.text if isinstance(result, Lost) else "",
+                attempt=self.last_attempt,
+                number=len(self.tried),
+                retries_left=round(self.attempts.budget.tokens, 2),
+                configuration=self.entry.version,
+            )
+
     @property
     def streams(self) -> bool:
         """Whether the rest of the answer is still to come."""
@@ -252,6 +324,8 @@
         except ConnectError as error:
             return Lost(Outcome.UNREACHABLE, error.verdict, str(error))
         except BrokenAnswerError as error:
+            if connection is not None:
+                connection.close()
             return Lost(Outcome.BROKEN, error.verdict, f"{address}: {error}")
         except TimeoutError:
             text = f"{address}: no answer in time"
--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -145,6 +145,7 @@
         self.claims: Claims | None = None
         self.ledger = Ledger(settings.vm)
         self.configured = False
+        self.version = 0
         self.table = RoutingTable(Configuration())
         self.rules = build_table(())
         self.admissions: dict[str, Admission] = {}
@@ -305,6 +306,20 @@
         if state:
             self.tell(state.pool, ProbeEnded(target, healthy))
 
+    def note_refused(self, request: Request, status: int, code: str) -> None:
+        """Count and log a request that belongs to no service."""
+        self.recorder.refuse(code)
+        request_id = (request.header(self.vocabulary.request_id) or b"").decode("latin-1")
+        events.write(
+            Event.REQUEST_ENDED,
+            request=request_id,
+            status=status,
+            verdict=Verdict.NOT_RUN.value,
+            code=code,
+            path=request.path,
+            configuration=self.version,
+        )
+
     def match(self, request: Request) -> Match | None:
         """Return service and route of a request; the services' own routes go first."""
         host = (request.header(b"host") or b"").decode("latin-1")
@@ -344,10 +359,11 @@
         """
         if not self.configured and isinstance(self.placing, SharedPlacing):
             text = "this VM has no configuration yet"
+            self.note_refused(request, 503, "no-configuration")
             raise RequestError(503, "no-configuration", text, Verdict.NOT_RUN, FIRST_RETRY_MS)
         match = self.match(request)
         if match is None:
-            self.recorder.refuse("no-route")
+            self.note_refused(request, 404, "no-route")
             raise bad_request("no-route", f"no service takes {request.method} {request.path}", 404)
         if caller.gone:
             text = "the caller is gone"
--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -44,6 +44,7 @@
     DAEMON_TASK_FAILED = EventKind(1005, logging.ERROR, "background work failed: {error}")
     HTTP_HANDLER_FAILED = EventKind(1101, logging.ERROR, "a request met an internal error: {error}")
     HTTP_SEND_FAILED = EventKind(1102, logging.ERROR, "an answer could not be sent: {error}")
+    HTTP_REFUSED = EventKind(1103, logging.INFO, "a caller's bytes were refused: {status}, {code}")
     TARGET_EJECTED = EventKind(1201, logging.WARNING, "{service}: {target} is out: {reason}")
     TARGET_RETURNED = EventKind(1202, logging.INFO, "{service}: {target} is back")
     OWN_PATH_SUSPECTED = EventKind(1203, logging.WARNING, "{service}: this VM's path looks broken")
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -139,6 +139,7 @@
         self.admin = Server(settings.http, self.answer_admin)
         self.peer_server = Server(settings.http, self.answer_peer)
         self.version = 0
+        self.listed: tuple[Vm, ...] = ()
         self.limits: HttpLimits = settings.http
         self.stopping = asyncio.Event()
         self.ended = False
@@ -265,7 +266,7 @@
 
     def adopt(self, found: VersionedConfiguration) -> None:
         """Put a configuration in force."""
-        self.version = found.version
+        self.version = self.entry.version = found.version
         self.entry.configure(found.configuration)
         self.server.limits = found.limits
         events.write(Event.CONFIGURATION_ADOPTED, version=found.version)
@@ -281,7 +282,9 @@
         """Tell the entry of all targets, with those that lapsed in an outage."""
         rows = self.followers[TARGETS_TABLE].copy.values()
         listed = self.platform.decoder.targets(rows)
-        self.entry.list_vms(self.lapsed.list(listed, self.clock.now()))
+        before, self.listed = self.listed, self.lapsed.list(listed, self.clock.now())
+        log_changes(before, self.listed)
+        self.entry.list_vms(self.listed)
 
     def note_ready(self) -> None:
         """Log the moment in which the process becomes ready."""
@@ -400,3 +403,21 @@
         known = {self.settings.vm: self.settings.peer}
         known |= {vm: peer.address for vm, peer in self.domain.peers.items()}
         return tuple(Vm(vm, address, domain, peer=address) for vm, address in known.items())
+
+
+def log_changes(before: tuple[Vm, ...], after: tuple[Vm, ...]) -> None:
+    """Log each target that came, changed its state or went."""
+    known = {vm.name: vm for vm in before}
+    for vm in after:
+        last = known.pop(vm.name, None)
+        if last is None or last.state is not vm.state or last.address != vm.address:
+            events.write(
+                Event.TARGET_LISTED,
+                service=vm.service,
+                target=vm.name,
+                address=str(vm.address),
+                state=vm.state.value,
+            )
+    for vm in known.values():
+        address = str(vm.address)
+        events.write(Event.TARGET_UNLISTED, service=vm.service, target=vm.name, address=address)
--- a/cactusvane/http/server.py
+++ b/cactusvane/http/server.py
@@ -550,6 +550,7 @@
         self.refused = error
         if self.exchanges:
             return
+        events.write(Event.HTTP_REFUSED, status=error.status, code=error.code, reason=error.text)
         exchange = self.reading
         answer = refusal(error)
         if exchange.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
--- /dev/null
+++ b/tests/adapter/test_settings.py
@@ -0,0 +1,73 @@
+"""The platform's settings file."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from adapter.settings import SETTINGS_VARIABLE, Start, read_start
+
+from cactusvane.errors import SettingsError
+from cactusvane.fleet.vm import Address
+
+FILE: dict[str, Any] = {
+    "node-id": "front-gobabis-1",
+    "role": "entry",
+    "ip": "10.1.0.18",
+    "zone": "gobabis",
+    "region": "omaheke",
+    "zones": {"gobabis": "omaheke", "witvlei": "omaheke"},
+    "listen": {"front": "10.1.0.18:8381", "ready": "10.1.0.18:8388", "control": "10.1.0.18:8382"},
+    "internal-ports": [7200, 7215],
+    "seed-nodes": ["10.1.0.18:8382", "10.2.0.34:8382"],
+    "bounds": {"grace-s": 6, "retry-budget-ratio": 0.2, "budget-slack": 64, "new": 1},
+    "platform": {"address": "10.200.1.7:8384", "form": "table"},
+    "data-dir": None,
+}
+
+
+def read(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, file: dict[str, Any]) -> Start:
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(file))
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+    return read_start()
+
+
+def test_the_file(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    start = read(tmp_path, monkeypatch, FILE)
+    settings = start.settings
+    assert (settings.vm, settings.failure_domain) == ("front-gobabis-1", "gobabis")
+    assert settings.listen == Address("10.1.0.18", 8381)
+    assert settings.peer == Address("10.1.0.18", 7200)
+    assert settings.peers == (Address("10.1.0.18", 8382), Address("10.2.0.34", 8382))
+    assert start.control == Address("10.1.0.18", 8382)
+    assert start.fleet.domains == 2
+    assert start.fleet.retries < 64
+    assert settings.retries.share < 0.2
+
+
+def test_a_stop_ends_before_the_platform_kills(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for grace_s in (1, 2, 6, 30):
+        file = FILE | {"bounds": {"grace-s": grace_s}}
+        settings = read(tmp_path, monkeypatch, file).settings
+        assert settings.leaving_ms + settings.drain_ms < grace_s * 1_000
+
+
+@pytest.mark.parametrize("name", ["ip", "listen", "platform", "internal-ports"])
+def test_what_is_missing_is_named(
+    name: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    file = {key: value for key, value in FILE.items() if key != name}
+    with pytest.raises(SettingsError, match=name):
+        read(tmp_path, monkeypatch, file)
+
+
+def test_no_file(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.delenv(SETTINGS_VARIABLE, raising=False)
+    with pytest.raises(SettingsError, match=SETTINGS_VARIABLE):
+        read_start()
+    monkeypatch.setenv(SETTINGS_VARIABLE, "/nowhere")
+    with pytest.raises(SettingsError, match="nowhere"):
+        read_start()
--- /dev/null
+++ b/tests/adapter/test_store.py
@@ -0,0 +1,107 @@
+"""The client of the platform's store against the stand-in."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from adapter.store import ENTRIES_TABLE, Store
+
+from cactusvane.errors import PlatformUnavailableError
+from cactusvane.fleet.vm import Address, Vm
+from cactusvane.fleet_process import CONFIGURATION_TABLE, TARGETS_TABLE
+from cactusvane.following.source import HistoryLostError
+from tests.adapter.store_standin import LIMIT, StoreStandin
+
+Scenario = Callable[[StoreStandin, Store], Awaitable[None]]
+
+
+def play(scenario: Scenario) -> None:
+    async def run() -> None:
+        standin = StoreStandin()
+        address = await standin.start()
+        try:
+            await scenario(standin, Store(address))
+        finally:
+            await standin.server.drain(0)
+
+    asyncio.run(run())
+
+
+def test_a_table_comes_whole_though_answers_hold_few_rows() -> None:
+    async def scenario(standin: StoreStandin, store: Store) -> None:
+        keys = [f"k{number}" for number in range(2 * LIMIT + 1)]
+        for key in keys:
+            standin.put("servers", key, key.encode())
+        read = await store.read_table(TARGETS_TABLE)
+        assert [row.key for row in read.rows] == keys
+        assert read.whole
+        assert read.version == standin.ver
+
+    play(scenario)
+
+
+def test_changes_come_as_soon_as_there_are_some() -> None:
+    async def scenario(standin: StoreStandin, store: Store) -> None:
+        standin.put("op", "config", b"1")
+        asking = asyncio.ensure_future(store.read_changes(CONFIGURATION_TABLE, 1, 5_000.0))
+        await asyncio.sleep(0.05)
+        assert not asking.done()
+        standin.put("op", "config", b"2")
+        read = await asyncio.wait_for(asking, 1.0)
+        assert [(row.key, row.value) for row in read.rows] == [("config", b"2")]
+
+    play(scenario)
+
+
+def test_a_wait_without_changes_moves_the_version_on() -> None:
+    async def scenario(standin: StoreStandin, store: Store) -> None:
+        standin.put("servers", "a", b"1")
+        read = await store.read_changes(CONFIGURATION_TABLE, 0, 10.0)
+        assert (read.version, read.rows, read.whole) == (1, (), False)
+
+    play(scenario)
+
+
+def test_removed_rows_are_told() -> None:
+    async def scenario(standin: StoreStandin, store: Store) -> None:
+        standin.put("servers", "a", b"1")
+        standin.put("servers", "a", None)
+        read = await store.read_changes(TARGETS_TABLE, 1, 10.0)
+        assert [(row.key, row.value) for row in read.rows] == [("a", None)]
+
+    play(scenario)
+
+
+def test_dropped_history_is_told_from_an_outage() -> None:
+    async def scenario(standin: StoreStandin, store: Store) -> None:
+        standin.oldest = 5
+        with pytest.raises(HistoryLostError):
+            await store.read_changes(TARGETS_TABLE, 1, 10.0)
+        for standin.status in (429, 503, 500):
+            with pytest.raises(PlatformUnavailableError):
+                await store.read_changes(TARGETS_TABLE, 5, 10.0)
+
+    play(scenario)
+
+
+def test_a_store_that_is_not_there_is_unavailable() -> None:
+    async def scenario(standin: StoreStandin, store: Store) -> None:
+        gone = Store(Address("127.0.0.1", 1))
+        with pytest.raises(PlatformUnavailableError):
+            await gone.read_table(TARGETS_TABLE)
+
+    play(scenario)
+
+
+def test_entries_find_each_other_and_unreadable_rows_are_passed_over() -> None:
+    async def scenario(standin: StoreStandin, store: Store) -> None:
+        def entry(number: int) -> Vm:
+            address = Address("10.0.0.1", number)
+            return Vm(f"e{number}", address, "Gobabis", peer=address)
+
+        standin.put(ENTRIES_TABLE, "x", b"not an entry", "Gobabis")
+        assert await store.enter(entry(1)) == (entry(1),)
+        assert await store.enter(entry(2)) == (entry(1), entry(2))
+        assert await store.enter(entry(2)) == (entry(1), entry(2))
+
+    play(scenario)
--- /dev/null
+++ b/tests/following/test_follower.py
@@ -0,0 +1,128 @@
+"""The follower against a scripted platform."""
+
+import asyncio
+from random import Random
+
+import pytest
+
+from cactusvane.clock import Clock
+from cactusvane.errors import PlatformUnavailableError
+from cactusvane.fleet.vm import Address
+from cactusvane.following import follower as module
+from cactusvane.following.follower import TableFollower
+from cactusvane.following.readers import READERS, Candidate, is_reader
+from cactusvane.following.source import HistoryLostError
+from cactusvane.following.table import TableRow, TableRows
+
+PEER = Address("10.0.0.9", 1)
+ALL = TableRows(5, (TableRow("a", b"1", 5),), whole=True)
+CHANGE = TableRows(6, (TableRow("a", b"2", 6),), whole=False)
+
+Step = TableRows | Exception
+
+
+class ScriptedSource:
+    """Answers reads from a script and remembers what was asked."""
+
+    def __init__(self, *script: Step) -> None:
+        self.script = list(script)
+        self.asked: list[str] = []
+
+    def answer(self, call: str) -> TableRows:
+        self.asked.append(call)
+        step = self.script.pop(0)
+        if isinstance(step, Exception):
+            raise step
+        return step
+
+    async def read_table(self, table: str) -> TableRows:
+        return self.answer("whole")
+
+    async def read_changes(self, table: str, after: int, wait_ms: float) -> TableRows:
+        return self.answer(f"after {after}")
+
+
+async def no_pull(address: Address, table: str, after: int) -> TableRows:
+    raise PlatformUnavailableError("nobody")
+
+
+def make_follower(source: ScriptedSource) -> TableFollower:
+    return TableFollower("targets", source, no_pull, Clock(), Random(1))
+
+
+@pytest.fixture(autouse=True)
+def short_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name in ("FIRST_PAUSE_MS", "MOST_PAUSE_MS", "BATCH_MS"):
+        monkeypatch.setattr(module, name, 1.0)
+
+
+def follow(*script: Step) -> tuple[TableFollower, list[str]]:
+    source = ScriptedSource(*script)
+    follower = make_follower(source)
+
+    async def run() -> None:
+        while source.script:
+            await follower.read()
+
+    asyncio.run(run())
+    return follower, source.asked
+
+
+def test_the_table_is_read_whole_once_and_then_by_changes() -> None:
+    follower, asked = follow(ALL, CHANGE, TableRows(9, (), whole=False))
+    assert asked == ["whole", "after 5", "after 6"]
+    assert follower.copy.values() == {"a": b"2"}
+
+
+def test_lost_history_is_made_good_by_a_whole_read() -> None:
+    _, asked = follow(ALL, HistoryLostError("gone"), ALL, CHANGE)
+    assert asked == ["whole", "after 5", "whole", "after 5"]
+
+
+def test_an_outage_is_noticed_and_ends() -> None:
+    down = PlatformUnavailableError("down")
+    follower, asked = follow(ALL, down, down)
+    assert follower.failing
+    assert follower.copy.values() == {"a": b"1"}
+    follower, asked = follow(ALL, down, CHANGE)
+    assert not follower.failing
+    assert asked == ["whole", "after 5", "after 5"]
+
+
+def test_what_another_vm_knows_is_asked_for_once() -> None:
+    asked = []
+
+    async def pull(address: Address, table: str, after: int) -> TableRows:
+        asked.append(after)
+        await asyncio.sleep(0)
+        return CHANGE
+
+    follower = make_follower(ScriptedSource())
+    follower.pull = pull
+    follower.copy.apply(ALL)
+
+    async def run() -> None:
+        await asyncio.gather(*(follower.catch_up(PEER, 6) for _ in range(3)))
+        await follower.catch_up(PEER, 6)
+
+    asyncio.run(run())
+    assert asked == [5]
+    assert follower.copy.values() == {"a": b"2"}
+
+
+def test_few_read_and_those_that_cannot_read_are_replaced() -> None:
+    names = [f"e{number}" for number in range(6)]
+    reads = dict.fromkeys(names, True)
+    reads["e0"] = False
+
+    def readers() -> list[str]:
+        found = []
+        for own in names:
+            rest = tuple(Candidate(name, reads[name]) for name in names if name != own)
+            if is_reader(Candidate(own, reads[own]), rest):
+                found.append(own)
+        return found
+
+    assert readers() == ["e0", "e1", "e2"]
+    reads["e0"] = True
+    assert len(readers()) == READERS
--- /dev/null
+++ b/tests/following/test_table.py
@@ -0,0 +1,63 @@
+"""Copies of a table, read whole and by changes from several sources."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cactusvane.following.table import TableCopy, TableRow, TableRows
+
+
+def whole(version: int, **values: tuple[bytes, int]) -> TableRows:
+    rows = tuple(TableRow(key, value, ver) for key, (value, ver) in values.items())
+    return TableRows(version, rows, whole=True)
+
+
+def test_an_older_change_does_not_undo_a_newer_one() -> None:
+    copy = TableCopy()
+    copy.apply(whole(9, a=(b"new", 9)))
+    assert copy.apply(TableRows(5, (TableRow("a", b"old", 5),), whole=False)) == ()
+    assert copy.values() == {"a": b"new"}
+
+
+def test_a_whole_read_that_is_older_is_passed_over() -> None:
+    copy = TableCopy()
+    copy.apply(whole(9, a=(b"1", 9)))
+    copy.apply(whole(4))
+    assert copy.values() == {"a": b"1"}
+
+
+def test_rows_that_a_whole_read_lacks_are_gone_for_copies_that_ask_later() -> None:
+    copy, other = TableCopy(), TableCopy()
+    copy.apply(whole(5, a=(b"1", 4), b=(b"2", 5)))
+    other.apply(copy.since(0))
+    copy.apply(whole(8, a=(b"1", 4)))
+    other.apply(copy.since(other.changed))
+    assert other.values() == {"a": b"1"}
+    assert other.changed == copy.changed
+
+
+def test_the_version_of_changes_stands_still_while_nothing_changes() -> None:
+    copy = TableCopy()
+    copy.apply(whole(5, a=(b"1", 4)))
+    copy.apply(TableRows(70, (), whole=False))
+    assert (copy.version, copy.changed) == (70, 4)
+
+
+STEPS = st.lists(
+    st.tuples(st.sampled_from("abc"), st.one_of(st.none(), st.binary(max_size=2))), max_size=15
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(STEPS, st.lists(st.integers(0, 15), max_size=4))
+def test_a_copy_of_a_copy_ends_equal(
+    steps: list[tuple[str, bytes | None]], pulls: list[int]
+) -> None:
+    copy, other = TableCopy(), TableCopy()
+    copy.apply(TableRows(1, (), whole=True))
+    for number, (key, value) in enumerate(steps):
+        version = number + 2
+        copy.apply(TableRows(version, (TableRow(key, value, version),), whole=False))
+        if number in pulls:
+            other.apply(copy.since(other.changed))
+    other.apply(copy.since(other.changed))
+    assert other.values() == copy.values()
--- /dev/null
+++ b/tests/placement/test_domain.py
@@ -0,0 +1,109 @@
+"""Loads and evidence that entries share, with notices lost, doubled and out of order."""
+
+from dataclasses import replace
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cactusvane.configuration.model import Configuration, Service
+from cactusvane.fleet.vm import Address
+from cactusvane.placement.domain import FORGET_MS, PEER_MS, Domain
+from cactusvane.placement.messages import Notice, Observation
+from cactusvane.pool.messages import Outcome
+from tests.placement.fixtures import NEAR, make_target
+
+PEER = Address("10.0.1.2", 7_000)
+SERVICE = Service("records", (), (), 1, 1, 1)
+
+
+def make_domain() -> Domain:
+    domain = Domain("e1", NEAR, 100, Random(1))
+    domain.list_targets({"records": (make_target(0), make_target(1))}, 0.0)
+    domain.configure(Configuration((SERVICE,)), 0.0)
+    return domain
+
+
+def others(domain: Domain) -> dict[str, int]:
+    targets = domain.placements["records"].targets
+    return {name: target.others for name, target in targets.items() if target.others}
+
+
+def notice(number: int, started: int = 100, **in_flight: int) -> Notice:
+    return Notice("e2", number, started, True, {}, in_flight)
+
+
+def test_a_notice_replaces_the_one_before() -> None:
+    domain = make_domain()
+    assert domain.hear(notice(1, t0=2), PEER, 0.0)
+    assert domain.hear(notice(2, t0=1, t1=3), PEER, 0.0)
+    assert others(domain) == {"t0": 1, "t1": 3}
+
+
+def test_a_notice_that_was_overtaken_is_passed_over() -> None:
+    domain = make_domain()
+    domain.hear(notice(2, t0=1), PEER, 0.0)
+    assert not domain.hear(notice(1, t0=5), PEER, 0.0)
+    assert others(domain) == {"t0": 1}
+
+
+def test_a_process_that_started_again_counts_from_the_beginning() -> None:
+    domain = make_domain()
+    domain.hear(notice(9, t0=4), PEER, 0.0)
+    assert domain.hear(notice(1, started=200), PEER, 0.0)
+    assert others(domain) == {}
+
+
+def test_an_entry_that_falls_silent_has_nothing_in_flight() -> None:
+    domain = make_domain()
+    domain.hear(notice(1, t0=4), PEER, 0.0)
+    domain.expire(PEER_MS + 1.0)
+    assert others(domain) == {}
+    assert domain.live_peers(PEER_MS + 1.0) == {}
+    domain.expire(FORGET_MS + 1.0)
+    assert domain.peers == {}
+
+
+def test_own_notices_are_passed_over() -> None:
+    domain = make_domain()
+    assert not domain.hear(replace(notice(1, t0=1), sender="e1"), PEER, 0.0)
+    assert domain.peers == {}
+
+
+def test_loads_are_counted_for_targets_that_are_listed_later() -> None:
+    domain = make_domain()
+    domain.hear(notice(1, t2=2), PEER, 0.0)
+    domain.list_targets({"records": (make_target(2),)}, 0.0)
+    assert others(domain) == {"t2": 2}
+
+
+def test_what_was_seen_is_told_once_and_learned() -> None:
+    one, two = make_domain(), Domain("e2", NEAR, 100, Random(2))
+    two.observe(Observation("t0", "read", Outcome.FAILED, 10.0))
+    told = two.next_notice(True, {})
+    assert two.next_notice(True, {}).seen == ()
+    one.hear(told, PEER, 0.0)
+    assert one.placements["records"].targets["t0"].evidence.bad == 1.0
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(1, 8),
+            st.dictionaries(st.sampled_from(["t0", "t1", "t9"]), st.integers(1, 4)),
+        ),
+        max_size=12,
+    )
+)
+def test_loads_are_those_of_the_latest_notice_whatever_comes_in_which_order(
+    notices: list[tuple[int, dict[str, int]]],
+) -> None:
+    domain = make_domain()
+    latest: dict[int, dict[str, int]] = {}
+    for number, in_flight in notices:
+        domain.hear(notice(number, **in_flight), PEER, 0.0)
+        if number > max(latest, default=0):
+            latest[number] = in_flight
+    expected = latest[max(latest)] if latest else {}
+    assert others(domain) == {name: n for name, n in expected.items() if name != "t9"}
--- /dev/null
+++ b/tests/placement/test_placement.py
@@ -0,0 +1,182 @@
+"""Each gain of placement, against the load that it answers."""
+
+from collections import Counter
+from dataclasses import replace
+
+from cactusvane.fleet.vm import VmState
+from cactusvane.placement.messages import Demand, Place, Reject, Wait
+from cactusvane.placement.placement import Placement
+from cactusvane.pool.messages import Outcome
+from tests.placement.fixtures import (
+    FAR,
+    failed,
+    make_demand,
+    make_placement,
+    make_target,
+    served,
+)
+
+
+def place(placement: Placement, demand: Demand, now: float = 0.0) -> str:
+    decision = placement.place(demand, frozenset(), now)
+    assert isinstance(decision, Place), decision
+    return decision.name
+
+
+def chosen(placement: Placement, demand: Demand, count: int, now: float = 0.0) -> Counter[str]:
+    names: Counter[str] = Counter()
+    for _ in range(count):
+        name = place(placement, demand, now)
+        placement.started(name)
+        names[name] += 1
+    return names
+
+
+def test_equal_targets_share_evenly() -> None:
+    placement = make_placement(*(make_target(number) for number in range(4)))
+    assert set(chosen(placement, make_demand(), 16).values()) == {4}
+
+
+def test_loads_of_other_entries_count_like_own_ones() -> None:
+    placement = make_placement(make_target(0), make_target(1))
+    placement.targets["t0"].others = 6
+    assert chosen(placement, make_demand(), 4) == {"t1": 4}
+
+
+def test_work_stays_in_the_failure_domain_while_it_costs_little() -> None:
+    placement = make_placement(make_target(0), make_target(1, FAR))
+    names = chosen(placement, make_demand(), 12)
+    assert names["t0"] > names["t1"]
+    assert names["t1"] > 0, "a full target near by loses to a free one far away"
+
+
+def test_a_target_that_fails_gets_no_non_idempotent_work_for_a_while() -> None:
+    placement = make_placement(make_target(0), make_target(1))
+    placement.started("t0")
+    placement.ended(failed("t0"), 0.0)
+    demand = make_demand(idempotent=False)
+    assert chosen(placement, demand, 6) == {"t1": 6}
+
+
+def test_a_target_that_failed_once_among_many_answers_keeps_its_work() -> None:
+    placement = make_placement(make_target(0), make_target(1))
+    for target in ("t0", "t1"):
+        for _ in range(12):
+            placement.learn(served(target), 0.0)
+    placement.learn(failed("t0"), 0.0)
+    assert chosen(placement, make_demand(), 12)["t0"] >= 3
+
+
+def test_a_target_that_failed_by_itself_is_back_after_some_seconds() -> None:
+    placement = make_placement(make_target(0), make_target(1))
+    placement.learn(failed("t0"), 0.0)
+    later = 15_000.0
+    assert chosen(placement, make_demand(now=later), 8, later)["t0"] >= 2
+
+
+def test_the_least_bad_target_serves_where_all_fail() -> None:
+    placement = make_placement(make_target(0), make_target(1))
+    for _ in range(3):
+        placement.learn(failed("t0"), 0.0)
+    placement.learn(failed("t1"), 0.0)
+    assert place(placement, make_demand()) == "t1"
+
+
+def test_a_target_that_cannot_be_reached_is_left_alone_longer_each_time() -> None:
+    placement = make_placement(make_target(0))
+    target = placement.targets["t0"]
+    pauses = []
+    now = 0.0
+    for _ in range(6):
+        placement.ended(failed("t0", Outcome.UNREACHABLE), now)
+        pauses.append(target.refused_until - now)
+        now = target.refused_until
+    assert pauses == [1_000.0, 2_000.0, 4_000.0, 8_000.0, 8_000.0, 8_000.0]
+    placement.ended(served("t0"), now)
+    placement.ended(failed("t0", Outcome.UNREACHABLE), now)
+    assert target.refused_until - now == 1_000.0
+
+
+def test_what_one_entry_cannot_reach_says_nothing_to_the_others() -> None:
+    placement = make_placement(make_target(0))
+    placement.learn(failed("t0", Outcome.UNREACHABLE), 0.0)
+    assert placement.targets["t0"].takes_work(0.0)
+    assert placement.targets["t0"].evidence.bad == 0.0
+
+
+def test_leaving_and_misplaced_targets_get_nothing() -> None:
+    leaving = replace(make_target(0), state=VmState.LEAVING)
+    placement = make_placement(leaving, make_target(1), make_target(2))
+    placement.ended(failed("t1", Outcome.DRAINING), 0.0)
+    assert chosen(placement, make_demand(), 4) == {"t2": 4}
+
+
+def test_a_request_in_flight_for_too_long_speaks_against_its_target() -> None:
+    placement = make_placement(make_target(0), make_target(1))
+    placement.learn(replace(served("t0"), outcome=None), 0.0)
+    assert chosen(placement, make_demand(idempotent=False), 4)["t0"] <= 1
+
+
+def test_a_cold_target_gets_less_work() -> None:
+    placement = make_placement(make_target(0, warm_up_ms=3_000.0), make_target(1))
+    names = chosen(placement, make_demand(), 5)
+    assert names["t0"] < names["t1"]
+
+
+def test_a_slow_target_gets_less_work() -> None:
+    placement = make_placement(make_target(0), make_target(1))
+    for _ in range(6):
+        placement.learn(served("t0", 2_000.0), 0.0)
+        placement.learn(served("t1", 400.0), 0.0)
+    names = chosen(placement, make_demand(), 5)
+    assert names["t0"] < names["t1"]
+
+
+def test_what_cannot_end_in_time_is_rejected_at_once() -> None:
+    placement = make_placement(make_target(0, slots=1))
+    placement.learn(served("t0", 400.0), 0.0)
+    placement.targets["t0"].others = 10
+    decision = placement.place(make_demand(), frozenset(), 0.0)
+    assert isinstance(decision, Reject)
+    assert decision.reason == "too-late"
+    assert 100.0 <= decision.retry_after_ms <= 1_000.0
+
+
+def test_a_less_urgent_kind_leaves_room_for_the_most_urgent_one() -> None:
+    placement = make_placement(make_target(0, slots=2))
+    for _ in range(30):
+        placement.learn(served("t0", 130.0, "urgent"), 0.0)
+        placement.learn(served("t0", 800.0, "patient"), 0.0)
+    urgent = make_demand("urgent", priority=1, time_ms=1_200.0, latency_ms=500.0)
+    patient = make_demand("patient", priority=2, time_ms=6_000.0, latency_ms=2_500.0)
+    assert isinstance(placement.place(urgent, frozenset(), 0.0), Place)
+    placement.targets["t0"].others = 2
+    assert isinstance(placement.place(urgent, frozenset(), 0.0), Place)
+    assert isinstance(placement.place(patient, frozenset(), 0.0), Wait)
+
+
+def test_waiting_is_short_and_then_turned_away() -> None:
+    placement = make_placement()
+    demand = make_demand(latency_ms=1_000.0)
+    decision = placement.place(demand, frozenset(), 0.0)
+    assert decision == Wait(125.0)
+    assert isinstance(placement.place(demand, frozenset(), 125.0), Reject)
+
+
+def test_targets_that_were_tried_are_not_chosen_again() -> None:
+    placement = make_placement(make_target(0), make_target(1))
+    tried = frozenset({make_target(0).address})
+    for _ in range(4):
+        decision = placement.place(make_demand(), tried, 0.0)
+        assert isinstance(decision, Place)
+        assert decision.name == "t1"
+
+
+def test_what_is_known_of_a_target_outlives_a_new_list() -> None:
+    placement = make_placement(make_target(0), make_target(1))
+    placement.started("t0")
+    placement.learn(failed("t0"), 0.0)
+    placement.list_targets((make_target(0), make_target(2)), 0.0)
+    assert placement.targets["t0"].own == 1
+    assert placement.targets["t0"].evidence.bad == 1.0
+    assert set(placement.targets) == {"t0", "t2"}
