Keep lapsed targets only as long as the store's last failure allows; one reader a domain

A third of the machines had been refused until 3.5 s before, and a target that vanishes was kept for 2 s from then on. Ruled out: the feed, which told the removal within 10 ms. Change: a target is kept until 2 s after the latest call that the store did not answer; every notice tells that call's age.

--- a/cactusvane/fleet/lapse.py
+++ b/cactusvane/fleet/lapse.py
@@ -33,37 +33,27 @@
     >>> lapsed = LapsedTargets()
     >>> len(lapsed.list((vm,), 0.0))
     1
-    >>> lapsed.lost()
-    >>> lapsed.regained(5_000.0)
-    >>> len(lapsed.list((), 5_010.0)), len(lapsed.list((), 7_010.0))
+    >>> lapsed.failed(5_000.0)
+    >>> len(lapsed.list((), 5_010.0)), len(lapsed.list((), 7_000.0))
     (1, 0)
     """
 
     def __init__(self) -> None:
         self.present: dict[str, Vm] = {}
         self.kept: dict[str, Kept] = {}
-        self.away = False
-        self.until = -inf
+        self.failed_at = -inf
 
-    def lost(self) -> None:
-        """Note that the store does not answer, or not everybody."""
-        self.away = True
-
-    def regained(self, now: float) -> None:
-        """Note that the store answers again."""
-        if self.away:
-            self.away = False
-            self.until = now + RETURN_MS
-
-    def keeps(self, now: float) -> bool:
-        """Say whether targets that vanish now are kept for a while."""
-        return self.away or now < self.until
+    def failed(self, at: float) -> None:
+        """Note that the store did not answer a call of some VM, which ended at `at`."""
+        self.failed_at = max(self.failed_at, at)
 
     def list(self, vms: tuple[Vm, ...], now: float) -> tuple[Vm, ...]:
         """Return the listed targets and those that are kept."""
         present = {vm.name: vm for vm in vms}
-        if self.keeps(now):
-            self.keep(present, now)
+        until = self.failed_at + RETURN_MS
+        for name, vm in self.present.items():
+            if name not in present and vm.state is VmState.LIVE:
+                self.kept[name] = Kept(vm, until)
         self.present = present
         addresses = {vm.address for vm in vms}
         self.kept = {
@@ -73,12 +63,6 @@
         }
         return (*vms, *(kept.vm for kept in self.kept.values()))
 
-    def keep(self, present: dict[str, Vm], now: float) -> None:
-        """Keep the targets that are no longer among `present`."""
-        for name, vm in self.present.items():
-            if name not in present and vm.state is VmState.LIVE:
-                self.kept[name] = Kept(vm, now + RETURN_MS)
-
     def due(self, now: float) -> bool:
         """Say whether a kept target has to be given up now."""
         return any(now >= kept.until for kept in self.kept.values())
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -26,7 +26,7 @@
     asked_version,
     encode,
 )
-from cactusvane.following.follower import TableFollower
+from cactusvane.following.follower import FollowSettings, TableFollower
 from cactusvane.following.readers import Candidate, is_reader
 from cactusvane.following.source import TableSource
 from cactusvane.http.check import bad_request
@@ -35,7 +35,7 @@
 from cactusvane.http.vocabulary import Vocabulary
 from cactusvane.metrics import Recorder
 from cactusvane.placement.domain import Domain
-from cactusvane.placement.messages import Notice
+from cactusvane.placement.messages import Notice, Reading
 from cactusvane.placement.notices import NoticeEndpoint
 from cactusvane.settings import HttpLimits, Settings
 
@@ -87,10 +87,13 @@
         Retries for one service that may come at once from the whole fleet.
     domains
         Failure domains of the fleet.
+    follow
+        How soon a change must be known everywhere.
     """
 
     retries: float
     domains: int
+    follow: FollowSettings
 
 
 class FleetProcess:
@@ -151,7 +154,12 @@
     def follower(self, table: str, changed: Callable[[tuple[str, ...]], None]) -> TableFollower:
         """Return a follower of one table."""
         follower = TableFollower(
-            table, self.platform.source, self.exchange.pull, self.clock, self.random
+            table,
+            self.platform.source,
+            self.exchange.pull,
+            self.clock,
+            self.random,
+            self.fleet.follow,
         )
         follower.on_change = changed
         follower.should_read = self.should_read
@@ -163,19 +171,34 @@
         knows_targets = self.followers[TARGETS_TABLE].copy.loaded
         return self.version > 0 and knows_targets and not self.stopping.is_set()
 
-    @property
-    def reads(self) -> bool:
-        """Whether the platform answers this VM, as far as it knows, and will be asked again."""
-        failing = any(follower.failing for follower in self.followers.values())
-        return not failing and not self.stopping.is_set()
+    def reading(self) -> Reading:
+        """Return how the platform's tables answer this VM."""
+        now = self.clock.now()
+        followers = self.followers.values()
+        failing = any(follower.failing for follower in followers)
+        answers = [follower.answered_at for follower in followers]
+        known = [at for at in answers if at is not None]
+        failures = [follower.failed_at for follower in followers if follower.failed_at is not None]
+        return Reading(
+            able=not failing and not self.stopping.is_set(),
+            answer_age_ms=now - min(known) if len(known) == len(answers) else None,
+            failure_age_ms=now - max(failures) if failures else None,
+            tables={name: follower.copy.changed for name, follower in self.followers.items()},
+        )
 
     def should_read(self) -> bool:
         """Say whether this VM is to read the platform's tables for its failure domain."""
-        peers = self.domain.live_peers(self.clock.now())
+        now = self.clock.now()
+        peers = self.domain.live_peers(now)
         others = tuple(
-            Candidate(vm, peer.notice.reads) for vm, peer in peers.items() if peer.notice
+            candidate(vm, peer.notice, now - peer.heard)
+            for vm, peer in peers.items()
+            if peer.notice is not None
         )
-        return is_reader(Candidate(self.settings.vm, self.reads), others)
+        own = self.reading()
+        able = own.able or self.stopping.is_set()
+        me = Candidate(self.settings.vm, own.answer_age_ms, able)
+        return is_reader(me, others, self.fleet.follow.fresh_ms)
 
     async def run(self) -> None:
         """Serve until told to stop."""
@@ -296,12 +319,12 @@
         """Take in another entry's notice."""
         if not self.domain.hear(notice, address, self.clock.now()):
             return
-        for table, version in notice.tables.items():
+        for table, version in notice.reading.tables.items():
             follower = self.followers.get(table)
             if follower is not None and version > follower.copy.changed:
                 self.start(follower.catch_up(address, version))
-        if not notice.reads:
-            self.lapsed.lost()
+        if notice.reading.failure_age_ms is not None:
+            self.lapsed.failed(self.clock.now() - notice.reading.failure_age_ms)
         self.wake()
 
     def wake(self) -> None:
@@ -319,8 +342,7 @@
         """Tell the other entries of the failure domain now."""
         self.announcing = None
         self.told_at = self.clock.now()
-        tables = {name: follower.copy.changed for name, follower in self.followers.items()}
-        notice = self.domain.next_notice(self.reads, tables)
+        notice = self.domain.next_notice(self.reading())
         self.notices.send(notice, [peer.address for peer in self.domain.peers.values()])
 
     async def tick(self) -> None:
@@ -343,10 +365,9 @@
 
     def watch_store(self, now: float) -> None:
         """Note outages of the platform, and give up targets that did not come back after one."""
-        if self.followers[TARGETS_TABLE].failing:
-            self.lapsed.lost()
-        elif self.domain.all_read(now):
-            self.lapsed.regained(now)
+        failed_at = self.followers[TARGETS_TABLE].failed_at
+        if failed_at is not None:
+            self.lapsed.failed(failed_at)
         if self.lapsed.due(now):
             self.list_targets()
 
@@ -405,6 +426,12 @@
         return tuple(Vm(vm, address, domain, peer=address) for vm, address in known.items())
 
 
+def candidate(vm: str, notice: Notice, heard_ago_ms: float) -> Candidate:
+    """Return another entry as a reader, by what it said `heard_ago_ms` ago."""
+    age = notice.reading.answer_age_ms
+    return Candidate(vm, None if age is None else age + heard_ago_ms, notice.reading.able)
+
+
 def log_changes(before: tuple[Vm, ...], after: tuple[Vm, ...]) -> None:
     """Log each target that came, changed its state or went."""
     known = {vm.name: vm for vm in before}
--- a/cactusvane/following/follower.py
+++ b/cactusvane/following/follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from random import Random
 
 from cactusvane import events
@@ -12,19 +13,33 @@
 from cactusvane.following.source import HistoryLostError, TableSource
 from cactusvane.following.table import TableCopy, TableRows
 
-WAIT_MS = 1_000.0
-"""How long the platform holds a read of changes; a reader that is cut off notices so soon."""
-
 FIRST_PAUSE_MS = 100.0
 MOST_PAUSE_MS = 1_000.0
 """Pauses after failed reads: the first, doubled up to the last, each with jitter."""
 
-IDLE_MS = 200.0
+IDLE_MS = 100.0
 """How often a VM that does not read looks whether it has to."""
 
 BATCH_MS = 20.0
 """Pause between two reads of changes, so that changes in quick succession come together."""
 
+
+@dataclass(frozen=True, slots=True)
+class FollowSettings:
+    """How soon a change must be known everywhere.
+
+    Parameters
+    ----------
+    wait_ms
+        How long the platform holds a read of changes; a reader that is cut off notices so soon.
+    fresh_ms
+        Age of the platform's latest answer to a reader at which other VMs take over.
+    """
+
+    wait_ms: float = 1_000.0
+    fresh_ms: float = 1_300.0
+
+
 Pull = Callable[[Address, str, int], Awaitable[TableRows]]
 """Asks the VM at an address for what changed in a table after a version."""
 
@@ -44,6 +59,8 @@
         The process's clock.
     random
         Source of all random choices.
+    settings
+        How soon a change must be known.
 
     Attributes
     ----------
@@ -57,11 +74,21 @@
         When a read failed last, in milliseconds; None for never.
     answered_at
         When the platform answered last, in milliseconds; None for never.
+    takes_over
+        Whether the next read is the first after a time without reads; it asks for an answer at
+        once.
     """
 
     def __init__(
-        self, table: str, source: TableSource, pull: Pull, clock: Clock, random: Random
+        self,
+        table: str,
+        source: TableSource,
+        pull: Pull,
+        clock: Clock,
+        random: Random,
+        settings: FollowSettings,
     ) -> None:
+        self.settings = settings
         self.table = table
         self.source = source
         self.pull = pull
@@ -76,11 +103,13 @@
         self.history_lost = False
         self.pause_ms = FIRST_PAUSE_MS
         self.pulling = False
+        self.takes_over = False
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
             if self.copy.loaded and not self.should_read():
+                self.takes_over = True
                 await asyncio.sleep(IDLE_MS / MS_PER_SECOND)
             else:
                 await self.read()
@@ -105,7 +134,10 @@
         """Return the whole table where it is not known, or else what changed."""
         if self.history_lost or not self.copy.loaded:
             return await self.source.read_table(self.table)
-        return await self.source.read_changes(self.table, self.copy.version, WAIT_MS)
+        wait_ms = 0.0 if self.takes_over else self.settings.wait_ms
+        read = await self.source.read_changes(self.table, self.copy.version, wait_ms)
+        self.takes_over = False
+        return read
 
     async def fail(self, error: PlatformError) -> None:
         """Note that the platform did not answer, and pause."""
--- a/cactusvane/following/readers.py
+++ b/cactusvane/following/readers.py
@@ -1,9 +1,9 @@
-"""Which VMs of a failure domain read the platform's tables for all of them."""
+"""Which VM of a failure domain reads the platform's tables for all of them."""
 
 from dataclasses import dataclass
 
-READERS = 2
-"""VMs of a failure domain that read; one more than needed, so that a dead one costs no time."""
+TURN_MS = 100.0
+"""Time between two VMs that take over, so that they do not all read at once."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -14,27 +14,40 @@
     ----------
     vm
         Its name.
-    reads
-        Whether the platform answers it, as far as it knows.
+    answer_age_ms
+        Age of the platform's latest answer to it; None where it has none to tell of.
+    able
+        Whether it may take over: it is not stopping, and the platform answered its last call.
     """
 
     vm: str
-    reads: bool
+    answer_age_ms: float | None
+    able: bool
 
 
-def is_reader(own: Candidate, others: tuple[Candidate, ...]) -> bool:
+def is_reader(own: Candidate, others: tuple[Candidate, ...], fresh_ms: float) -> bool:
     """Say whether a VM is to read.
 
-    The first VMs by name read, as far as the platform answers them. A VM that it does not answer
-    goes on trying, so that it notices its return.
+    The first able VM by name reads. Where the platform's latest answer to any VM is older than
+    `fresh_ms`, the others take over in the order of their names. A VM that the platform does not
+    answer goes on trying, so that it notices the platform's return.
 
     Examples
     --------
-    >>> others = (Candidate("a", True), Candidate("b", False), Candidate("d", True))
-    >>> is_reader(Candidate("c", True), others), is_reader(Candidate("e", True), others)
-    (True, False)
+    >>> reader = Candidate("a", 200.0, True)
+    >>> is_reader(Candidate("b", None, True), (reader,), 1_000.0)
+    False
+    >>> late = Candidate("a", 1_150.0, True)
+    >>> is_reader(Candidate("b", None, True), (late,), 1_000.0)
+    True
+    >>> is_reader(Candidate("c", None, True), (late, Candidate("b", None, True)), 1_000.0)
+    False
     """
-    if not own.reads:
+    if not own.able:
         return True
-    before = sum(other.reads and other.vm < own.vm for other in others)
-    return before < READERS
+    before = [other for other in others if other.vm < own.vm]
+    rank = sum(other.able for other in before)
+    if rank == 0:
+        return True
+    ages = [other.answer_age_ms for other in before if other.answer_age_ms is not None]
+    return min(ages, default=float("inf")) > fresh_ms + rank * TURN_MS
--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -9,7 +9,7 @@
 
 from cactusvane.configuration.model import Configuration
 from cactusvane.fleet.vm import Address, Vm
-from cactusvane.placement.messages import Notice, Observation
+from cactusvane.placement.messages import Notice, Observation, Reading
 from cactusvane.placement.placement import Placement
 from cactusvane.placement.settings import PlacementSettings
 
@@ -167,24 +167,17 @@
             if peer.notice is not None and now - peer.heard <= PEER_MS
         }
 
-    def all_read(self, now: float) -> bool:
-        """Say whether the platform's tables answer all entries that were heard lately."""
-        peers = self.live_peers(now).values()
-        return all(peer.notice is None or peer.notice.reads for peer in peers)
-
     def observe(self, seen: Observation) -> None:
         """Keep an observation for the next notice."""
         self.unsent.append(seen)
 
-    def next_notice(self, reads: bool, tables: dict[str, int]) -> Notice:
+    def next_notice(self, reading: Reading) -> Notice:
         """Return what to tell the other entries now.
 
         Parameters
         ----------
-        reads
-            Whether the platform's tables answer this entry.
-        tables
-            Version that it has of each table.
+        reading
+            How the platform answers this entry.
         """
         self.number += 1
         seen, self.unsent = tuple(self.unsent), []
@@ -194,4 +187,4 @@
             for name, target in placement.targets.items()
             if target.own
         }
-        return Notice(self.vm, self.number, self.started, reads, tables, in_flight, seen)
+        return Notice(self.vm, self.number, self.started, reading, in_flight, seen)
--- a/cactusvane/placement/messages.py
+++ b/cactusvane/placement/messages.py
@@ -111,6 +111,28 @@
     latency_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """How the platform's tables answer one entry.
+
+    Parameters
+    ----------
+    able
+        Whether it may read the tables for the others.
+    answer_age_ms
+        Age of the latest answer; None where there is none to tell of.
+    failure_age_ms
+        Age of the latest call without an answer; None for none.
+    tables
+        Version of the latest change that it has of each table.
+    """
+
+    able: bool
+    answer_age_ms: float | None
+    failure_age_ms: float | None
+    tables: dict[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class Notice:
     """What one entry tells the others of its failure domain.
@@ -123,10 +145,8 @@
         Grows with each notice of one process.
     started
         When the process started, in milliseconds since the epoch; tells its restarts apart.
-    reads
-        Whether the platform's tables answer it.
-    tables
-        Version that it has of each table.
+    reading
+        How the platform's tables answer it.
     in_flight
         Its requests in flight by target.
     seen
@@ -136,7 +156,6 @@
     sender: str
     number: int
     started: int
-    reads: bool
-    tables: dict[str, int]
+    reading: Reading
     in_flight: dict[str, int]
     seen: tuple[Observation, ...] = ()
