--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -96,11 +96,11 @@
     domain
         What they share.
     announce
-        Called when the others have something to hear.
+        Called when the others have something to hear, and whether it is urgent.
     """
 
     domain: Domain
-    announce: Callable[[], None]
+    announce: Callable[[bool], None]
 
 
 Placing = KeeperPlacing | SharedPlacing
--- /dev/null
+++ b/cactusvane/exposition.py
@@ -0,0 +1,100 @@
+"""The text form of a daemon's counters and histograms, for Prometheus.
+
+Imported only when somebody asks: its library takes a good part of a daemon's start.
+"""
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client.core import CounterMetricFamily, SummaryMetricFamily
+from prometheus_client.exposition import generate_latest
+from prometheus_client.registry import Collector, CollectorRegistry
+
+from cactusvane.metrics import US_PER_MS, Recorder
+
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
+
+Families = list[CounterMetricFamily | SummaryMetricFamily]
+
+
+class RecorderCollector(Collector):
+    """Hands a recorder's figures to the Prometheus client.
+
+    Parameters
+    ----------
+    recorder
+        Counts what happens.
+    """
+
+    def __init__(self, recorder: Recorder) -> None:
+        self.recorder = recorder
+
+    def collect(self) -> Families:
+        """Return everything in the form of the Prometheus client."""
+        return collect(self.recorder)
+
+
+def text(recorder: Recorder) -> bytes:
+    """Return the text exposition."""
+    registry = CollectorRegistry()
+    registry.register(RecorderCollector(recorder))
+    return generate_latest(registry)
+
+
+def collect(recorder: Recorder) -> list[CounterMetricFamily | SummaryMetricFamily]:
+    """Return everything in the form of the Prometheus client."""
+    labels = ("service", "kind")
+    requests = CounterMetricFamily(
+        "cactusvane_requests", "Requests by what callers were told", labels=(*labels, "verdict")
+    )
+    statuses = CounterMetricFamily(
+        "cactusvane_answers", "Answers by class of status", labels=(*labels, "class")
+    )
+    attempts = CounterMetricFamily(
+        "cactusvane_attempts", "Attempts by outcome", labels=(*labels, "outcome")
+    )
+    refused = CounterMetricFamily("cactusvane_refused", "Requests of no service", labels=("code",))
+    ejections = CounterMetricFamily(
+        "cactusvane_ejections", "Targets taken out on evidence", labels=("service",)
+    )
+    for service, count in recorder.ejections.items():
+        ejections.add_metric((service,), count)
+    for code, count in recorder.refused.items():
+        refused.add_metric((code,), count)
+    for key, record in recorder.kinds.items():
+        for verdict, count in record.verdicts.items():
+            requests.add_metric((*key, verdict.value), count)
+        for group, count in record.statuses.items():
+            statuses.add_metric((*key, f"{group}xx"), count)
+        for outcome, count in record.attempts.items():
+            attempts.add_metric((*key, outcome.value), count)
+    return [requests, statuses, attempts, refused, ejections, *summaries(recorder)]
+
+
+def summaries(recorder: Recorder) -> list[SummaryMetricFamily]:
+    """Return the histograms as quantiles in milliseconds."""
+    families = []
+    for name, text in (
+        ("total", "Time to the answer in hand"),
+        ("added", "Time that no target spent"),
+        ("waited", "Time waiting for a slot"),
+    ):
+        labels = ("service", "kind")
+        family = SummaryMetricFamily(f"cactusvane_{name}_ms", text, labels=labels)
+        for key, record in recorder.kinds.items():
+            histogram: HdrHistogram = getattr(record, name)
+            add_quantiles(family, key, histogram)
+        families.append(family)
+    return families
+
+
+def add_quantiles(
+    family: SummaryMetricFamily, key: tuple[str, str], histogram: HdrHistogram
+) -> None:
+    """Add count, sum and quantiles of `histogram` to `family`."""
+    count = histogram.get_total_count()
+    total_ms = histogram.get_mean_value() * count / US_PER_MS
+    family.add_metric(key, count, total_ms)
+    service, kind = key
+    for quantile in QUANTILES:
+        value = histogram.get_value_at_percentile(quantile * 100) / US_PER_MS
+        labels = {"service": service, "kind": kind, "quantile": str(quantile)}
+        family.add_sample(family.name, labels, value)
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -8,6 +8,7 @@
 import signal
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
+from functools import partial
 from random import Random
 
 from cactusvane import events
@@ -42,11 +43,14 @@
 CONFIGURATION_TABLE = "configuration"
 TARGETS_TABLE = "targets"
 
-BEAT_MS = 500.0
+BEAT_MS = 1_000.0
 """How often an entry tells the others of itself without traffic."""
 
-GATHER_MS = 2.0
-"""How long news waits for more, so that they go out as one notice."""
+GATHER_MS = 150.0
+"""How long ordinary news waits for more; a part of what requests take at their targets."""
+
+URGENT_MS = 2.0
+"""The same for news of a failure or of a table's change."""
 
 TICK_MS = 100.0
 """How often time passes in the decisions."""
@@ -162,6 +166,7 @@
             self.fleet.follow,
         )
         follower.on_change = changed
+        follower.on_answer = partial(self.announce, urgent=False)
         follower.should_read = self.should_read
         return follower
 
@@ -258,7 +263,7 @@
             and self.domain.meet(vm.name, vm.peer, now)
         ]
         if new:
-            self.announce()
+            self.announce(urgent=True)
 
     async def ask_seeds(self) -> None:
         """Learn from other entries while the platform does not answer."""
@@ -285,7 +290,7 @@
         found = self.platform.decoder.configuration(rows)
         if found is not None and found.version > self.version:
             self.adopt(found)
-        self.announce()
+        self.announce(urgent=True)
 
     def adopt(self, found: VersionedConfiguration) -> None:
         """Put a configuration in force."""
@@ -298,7 +303,7 @@
     def targets_changed(self, keys: tuple[str, ...]) -> None:
         """Go by the table's targets."""
         self.list_targets()
-        self.announce()
+        self.announce(urgent=True)
         self.note_ready()
 
     def list_targets(self) -> None:
@@ -332,11 +337,17 @@
         for admission in self.entry.shared_admissions:
             admission.wake()
 
-    def announce(self) -> None:
-        """Tell the other entries soon."""
-        if self.announcing is None and not self.ended:
-            loop = asyncio.get_running_loop()
-            self.announcing = loop.call_later(GATHER_MS / MS_PER_SECOND, self.tell)
+    def announce(self, urgent: bool) -> None:
+        """Tell the other entries soon, or at once where the news is urgent."""
+        if self.ended:
+            return
+        loop = asyncio.get_running_loop()
+        due = loop.time() + (URGENT_MS if urgent else GATHER_MS) / MS_PER_SECOND
+        if self.announcing is not None:
+            if self.announcing.when() <= due:
+                return
+            self.announcing.cancel()
+        self.announcing = loop.call_at(due, self.tell)
 
     def tell(self) -> None:
         """Tell the other entries of the failure domain now."""
@@ -385,7 +396,7 @@
         """Finish what is in flight and end."""
         events.write(Event.DAEMON_DRAINING, vm=self.settings.vm)
         self.server.leave()
-        self.announce()
+        self.announce(urgent=True)
         await asyncio.sleep(self.settings.leaving_ms / MS_PER_SECOND)
         await self.server.drain(self.settings.drain_ms)
         self.ended = True
--- a/cactusvane/following/follower.py
+++ b/cactusvane/following/follower.py
@@ -66,6 +66,8 @@
     ----------
     on_change
         Called with the keys that differ, after the copy was changed.
+    on_answer
+        Called when the platform answered.
     should_read
         Says whether this VM is to read from the platform.
     failing
@@ -96,6 +98,7 @@
         self.random = random
         self.copy = TableCopy()
         self.on_change: Callable[[tuple[str, ...]], None] = lambda keys: None
+        self.on_answer: Callable[[], None] = lambda: None
         self.should_read: Callable[[], bool] = lambda: True
         self.failing = False
         self.failed_at: float | None = None
@@ -156,6 +159,7 @@
         self.failing = False
         self.pause_ms = FIRST_PAUSE_MS
         self.answered_at = self.clock.now()
+        self.on_answer()
 
     def take(self, read: TableRows, source: str) -> None:
         """Change the copy and tell of it."""
--- a/cactusvane/metrics.py
+++ b/cactusvane/metrics.py
@@ -7,9 +7,6 @@
 from dataclasses import dataclass, field
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client.core import CounterMetricFamily, SummaryMetricFamily
-from prometheus_client.exposition import generate_latest
-from prometheus_client.registry import Collector, CollectorRegistry
 
 from cactusvane.pool.messages import Outcome
 from cactusvane.verdict import Verdict
@@ -17,7 +14,6 @@
 US_PER_MS = 1_000
 LONGEST_US = 600_000_000
 DIGITS = 2
-QUANTILES = (0.5, 0.9, 0.99, 0.999)
 
 
 def new_histogram() -> HdrHistogram:
@@ -81,7 +77,7 @@
         self.waited.record_value(max(1, int(ms * US_PER_MS)))
 
 
-class Recorder(Collector):
+class Recorder:
     """All counters of one daemon, by service and kind.
 
     Examples
@@ -112,69 +108,8 @@
         """Note that this VM takes a target of a service out on evidence."""
         self.ejections[service] = self.ejections.get(service, 0) + 1
 
-    def collect(self) -> list[CounterMetricFamily | SummaryMetricFamily]:
-        """Return everything in the form of the Prometheus client."""
-        labels = ("service", "kind")
-        requests = CounterMetricFamily(
-            "cactusvane_requests", "Requests by what callers were told", labels=(*labels, "verdict")
-        )
-        statuses = CounterMetricFamily(
-            "cactusvane_answers", "Answers by class of status", labels=(*labels, "class")
-        )
-        attempts = CounterMetricFamily(
-            "cactusvane_attempts", "Attempts by outcome", labels=(*labels, "outcome")
-        )
-        refused = CounterMetricFamily(
-            "cactusvane_refused", "Requests of no service", labels=("code",)
-        )
-        ejections = CounterMetricFamily(
-            "cactusvane_ejections", "Targets taken out on evidence", labels=("service",)
-        )
-        for service, count in self.ejections.items():
-            ejections.add_metric((service,), count)
-        for code, count in self.refused.items():
-            refused.add_metric((code,), count)
-        for key, record in self.kinds.items():
-            for verdict, count in record.verdicts.items():
-                requests.add_metric((*key, verdict.value), count)
-            for group, count in record.statuses.items():
-                statuses.add_metric((*key, f"{group}xx"), count)
-            for outcome, count in record.attempts.items():
-                attempts.add_metric((*key, outcome.value), count)
-        return [requests, statuses, attempts, refused, ejections, *self.summaries()]
-
-    def summaries(self) -> list[SummaryMetricFamily]:
-        """Return the histograms as quantiles in milliseconds."""
-        families = []
-        for name, text in (
-            ("total", "Time to the answer in hand"),
-            ("added", "Time that no target spent"),
-            ("waited", "Time waiting for a slot"),
-        ):
-            labels = ("service", "kind")
-            family = SummaryMetricFamily(f"cactusvane_{name}_ms", text, labels=labels)
-            for key, record in self.kinds.items():
-                histogram: HdrHistogram = getattr(record, name)
-                add_quantiles(family, key, histogram)
-            families.append(family)
-        return families
-
     def text(self) -> bytes:
         """Return the text exposition."""
-        registry = CollectorRegistry()
-        registry.register(self)
-        return generate_latest(registry)
-
-
-def add_quantiles(
-    family: SummaryMetricFamily, key: tuple[str, str], histogram: HdrHistogram
-) -> None:
-    """Add count, sum and quantiles of `histogram` to `family`."""
-    count = histogram.get_total_count()
-    total_ms = histogram.get_mean_value() * count / US_PER_MS
-    family.add_metric(key, count, total_ms)
-    service, kind = key
-    for quantile in QUANTILES:
-        value = histogram.get_value_at_percentile(quantile * 100) / US_PER_MS
-        labels = {"service": service, "kind": kind, "quantile": str(quantile)}
-        family.add_sample(family.name, labels, value)
+        from cactusvane.exposition import text
+
+        return text(self)
--- a/cactusvane/placement/admission.py
+++ b/cactusvane/placement/admission.py
@@ -7,7 +7,7 @@
 from cactusvane.fleet.vm import Address
 from cactusvane.placement.domain import Domain
 from cactusvane.placement.messages import Demand, Observation, Place, Reject, Wait
-from cactusvane.placement.placement import Placement
+from cactusvane.placement.placement import BAD, Placement
 from cactusvane.pool.messages import Outcome
 from cactusvane.request.admission import Ticket
 
@@ -35,11 +35,11 @@
     clock
         The process's clock.
     announce
-        Called when the other entries have something to hear.
+        Called when the other entries have something to hear, and whether it is urgent.
     """
 
     def __init__(
-        self, placement: Placement, domain: Domain, clock: Clock, announce: Callable[[], None]
+        self, placement: Placement, domain: Domain, clock: Clock, announce: Callable[[bool], None]
     ) -> None:
         self.placement = placement
         self.domain = domain
@@ -76,7 +76,7 @@
         ticket.overdue = loop.call_later(
             overdue_ms / MS_PER_SECOND, self.note_overdue, ticket, overdue_ms
         )
-        self.announce()
+        self.announce(False)
 
     def note_overdue(self, ticket: SharedTicket, overdue_ms: float) -> None:
         """Let a request that takes too long speak against its target."""
@@ -85,7 +85,7 @@
         seen = Observation(ticket.place.name, ticket.demand.kind, None, overdue_ms)
         self.placement.learn(seen, self.clock.now())
         self.domain.observe(seen)
-        self.announce()
+        self.announce(True)
 
     async def wait_for_room(self, ticket: SharedTicket, until: float) -> None:
         """Wait until something changes, at most until `until`."""
@@ -120,7 +120,7 @@
         ticket.tried |= {address}
         self.placement.ended(seen, self.clock.now())
         self.domain.observe(seen)
-        self.announce()
+        self.announce(outcome in BAD)
         self.wake()
 
     def withdraw(self, ticket: Ticket) -> None:
--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -13,8 +13,8 @@
 from cactusvane.placement.placement import Placement
 from cactusvane.placement.settings import PlacementSettings
 
-PEER_MS = 1_500.0
-"""An entry that was not heard for so long counts as gone; three beats without traffic."""
+PEER_MS = 2_500.0
+"""An entry that was not heard for so long counts as gone; more than two beats."""
 
 FORGET_MS = 30_000.0
 """An entry that was not heard for so long gets no more notices."""
--- a/cactusvane/placement/settings.py
+++ b/cactusvane/placement/settings.py
@@ -48,7 +48,7 @@
     prior_failures: float = 0.02
     prior_weight: float = 1.0
     failure_cost: float = 1.0
-    retry_cost: float = 0.3
+    retry_cost: float = 0.7
     far_share: float = 0.3
     spread_share: float = 0.3
     cold_factor: float = 2.0
