--- /dev/null
+++ b/tests/adapter/test_process.py
@@ -0,0 +1,378 @@
+"""Whole processes in one loop: the stand-in of the store, scripted targets, callers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+import pytest
+from adapter.decoder import VOCABULARY, Decoder
+from adapter.settings import FREE_CONNECTS
+from adapter.store import Store
+
+from cactusvane.errors import ConnectError
+from cactusvane.fleet.vm import Address
+from cactusvane.fleet_process import FleetLimits, FleetProcess, Platform
+from cactusvane.following.follower import FollowSettings
+from cactusvane.http.client import fetch
+from cactusvane.http.message import Answer, Headers
+from cactusvane.request.budget import RetrySettings
+from cactusvane.settings import HttpLimits, Settings
+from tests.adapter.store_standin import StoreStandin
+from tests.adapter.test_decoder import CONFIGURATION
+
+ANY = Address("127.0.0.1", 0)
+LIMITS = HttpLimits(connect_ms=300, unframed=True)
+FOLLOW = FollowSettings(wait_ms=200.0, fresh_ms=400.0)
+READ = "/lepu270/2f"
+BOOK = "/xapu221/ny95/2f"
+
+
+class TargetStandin:
+    """A target that checks whom a request is meant for; `reply` says how it answers."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.reply = "ok"
+        self.ran: list[str] = []
+        self.heads: list[str] = []
+        self.address = ANY
+        self.gone = asyncio.Event()
+
+    async def start(self) -> None:
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = Address(*server.sockets[0].getsockname())
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+            self.heads.append(head)
+            writer.write(await self.answer(head, reader))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        writer.close()
+
+    async def answer(self, head: str, reader: asyncio.StreamReader) -> bytes:
+        fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
+        request = fields["x-request-id"]
+        if fields["x-expect-instance"] != self.name:
+            return b"HTTP/1.1 421 No\r\nx-instance-id: other\r\ncontent-length: 0\r\n\r\n"
+        if self.reply == "shed":
+            return b"HTTP/1.1 503 No\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+        self.ran.append(request)
+        if self.reply == "hang":
+            await reader.read()
+            self.gone.set()
+            return b""
+        if self.reply == "slow":
+            await asyncio.sleep(0.4)
+        echo = "stranger" if self.reply == "foreign" else request
+        signed = "" if self.reply == "unsigned" else "x-response-stamp: s\r\n"
+        status = {"busy": "503 Busy", "error": "500 Oops"}.get(self.reply, "200 OK")
+        length = "" if self.reply == "unframed" else "content-length: 2\r\n"
+        return f"HTTP/1.1 {status}\r\nx-request-id: {echo}\r\n{signed}{length}\r\nhi".encode()
+
+    def row(self, **status: object) -> bytes:
+        return msgspec.json.encode(
+            {
+                "address": str(self.address),
+                "info": {"service": "huvo11a", "zone": "gobabis", "max-concurrency": 4},
+                "status": {"state": "ready", "sequence": 1, "warmup-left-ms": 0} | status,
+            }
+        )
+
+
+class Fleet:
+    """Some processes, one store, two targets."""
+
+    def __init__(self) -> None:
+        self.store = StoreStandin()
+        self.targets = [TargetStandin("i0"), TargetStandin("i1")]
+        self.processes: list[FleetProcess] = []
+        self.running: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        self.store_address = await self.store.start()
+        for target in self.targets:
+            await target.start()
+
+    def configure(self, **changes: Any) -> None:
+        routes = [
+            route | {"service": "huvo11a", "traffic-split": None} | changes
+            for route in CONFIGURATION["virtual-hosts"][0]["path-rules"]
+        ]
+        hosts = [{"host": "jepu9.example", "path-rules": routes}]
+        version = f"{self.store.ver + 16:08x}"
+        value = CONFIGURATION | {"version": version, "virtual-hosts": hosts}
+        self.store.put("op", "config", msgspec.json.encode(value))
+
+    def list_targets(self) -> None:
+        for target in self.targets:
+            self.store.put("servers", target.name, target.row())
+
+    async def start_process(self, name: str, peers: tuple[Address, ...] = ()) -> FleetProcess:
+        ports = [await free_port() for _ in range(3)]
+        settings = Settings(
+            name,
+            "gobabis",
+            listen=ports[0],
+            peer=ports[1],
+            admin=ports[2],
+            platform=self.store_address,
+            peers=peers,
+            http=LIMITS,
+            retries=RetrySettings(0.15, 1.0, paced_sheds=0, free_connects=FREE_CONNECTS),
+            leaving_ms=100,
+            drain_ms=2_000,
+        )
+        store = Store(self.store_address)
+        platform = Platform(store, Decoder(), store, VOCABULARY)
+        limits = FleetLimits(60.0, 1, FOLLOW)
+        process = FleetProcess(settings, limits, platform, lambda: replace(settings, peers=()))
+        self.processes.append(process)
+        self.running.append(asyncio.ensure_future(process.run()))
+        await asyncio.sleep(0.05)
+        return process
+
+    async def stop(self) -> None:
+        for process in self.processes:
+            process.stopping.set()
+        await asyncio.wait_for(asyncio.gather(*self.running), 10)
+        await self.store.server.drain(0)
+
+
+async def free_port() -> Address:
+    server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+    address = Address(*server.sockets[0].getsockname())
+    server.close()
+    return address
+
+
+async def until(condition: Callable[[], bool], seconds: float = 3.0) -> None:
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def ask(
+    process: FleetProcess, path: str = READ, time_ms: int = 1_500, request: str = "q1"
+) -> Answer:
+    headers: Headers = [
+        (b"host", b"jepu9.example"),
+        (b"x-request-id", request.encode()),
+        (b"x-deadline-ms", b"%d" % time_ms),
+    ]
+    method = "POST" if path == BOOK else "GET"
+    return await fetch(process.settings.listen, method, path, headers, b"", 5_000, LIMITS)
+
+
+async def is_ready(process: FleetProcess) -> bool:
+    answer = await fetch(process.settings.admin, "GET", "/ready", (), b"", 1_000, LIMITS)
+    return answer.status == 200
+
+
+Scenario = Callable[[Fleet], Awaitable[None]]
+
+
+def play(scenario: Scenario) -> None:
+    async def run() -> None:
+        fleet = Fleet()
+        await fleet.start()
+        try:
+            await scenario(fleet)
+        finally:
+            await fleet.stop()
+
+    asyncio.run(run())
+
+
+async def serving(fleet: Fleet, name: str = "e1") -> FleetProcess:
+    fleet.configure()
+    fleet.list_targets()
+    process = await fleet.start_process(name)
+    await until(lambda: process.ready)
+    return process
+
+
+def test_before_a_configuration_every_request_is_told_to_come_back() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        process = await fleet.start_process("e1")
+        answer = await ask(process)
+        assert answer.status == 503
+        assert answer.header(b"retry-after") == b"0.5"
+        assert not await is_ready(process)
+        fleet.configure()
+        fleet.list_targets()
+        await until(lambda: process.ready)
+        assert await is_ready(process)
+        assert (await ask(process)).status == 200
+
+    play(scenario)
+
+
+def test_requests_go_with_what_is_left_of_their_time_and_the_targets_name() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        process = await serving(fleet)
+        assert (await ask(process, time_ms=700)).body == b"hi"
+        (head,) = [head for target in fleet.targets for head in target.heads]
+        left = int(head.split("x-deadline-ms: ")[1].split("\r\n")[0])
+        assert 600 < left <= 700
+        assert head.count("x-deadline-ms") == head.count("x-request-id") == 1
+        assert "x-expect-instance: i" in head
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    ("path", "reply", "status", "runs"),
+    [
+        (READ, "unframed", 200, 1),
+        (READ, "foreign", 502, 2),
+        (READ, "unsigned", 502, 2),
+        (READ, "shed", 503, 0),
+        (READ, "error", 500, 2),
+        (BOOK, "foreign", 502, 1),
+        (BOOK, "unsigned", 502, 1),
+        (BOOK, "shed", 503, 0),
+        (BOOK, "busy", 502, 1),
+        (BOOK, "error", 500, 1),
+    ],
+)
+def test_what_callers_are_told(path: str, reply: str, status: int, runs: int) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        process = await serving(fleet)
+        for target in fleet.targets:
+            target.reply = reply
+        assert (await ask(process, path)).status == status
+        assert sum(len(target.ran) for target in fleet.targets) == runs
+
+    play(scenario)
+
+
+def test_a_hanging_target_ends_at_the_routes_timeout() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.configure(**{"timeout-ms": 500})
+        fleet.list_targets()
+        process = await fleet.start_process("e1")
+        await until(lambda: process.ready)
+        for target in fleet.targets:
+            target.reply = "hang"
+        started = process.clock.now()
+        answer = await ask(process, BOOK, time_ms=3_000)
+        assert answer.status == 504
+        assert 450 < process.clock.now() - started < 750
+        assert sum(len(target.ran) for target in fleet.targets) == 1
+
+    play(scenario)
+
+
+def test_an_address_with_a_new_owner_runs_nothing() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        process = await serving(fleet)
+        fleet.targets[0].name = "another"
+        for number in range(6):
+            assert (await ask(process, BOOK, request=f"q{number}")).status == 200
+        assert fleet.targets[0].ran == []
+        assert len(fleet.targets[0].heads) <= 1
+
+    play(scenario)
+
+
+def test_a_draining_target_gets_no_request_after_its_word() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        process = await serving(fleet)
+        leaving, staying = fleet.targets
+        fleet.store.put("servers", leaving.name, leaving.row(state="draining"))
+        await asyncio.sleep(0.1)
+        for number in range(8):
+            assert (await ask(process, request=f"q{number}")).status == 200
+        assert leaving.heads == []
+        assert len(staying.heads) == 8
+
+    play(scenario)
+
+
+def test_a_change_reaches_the_entries_that_do_not_read_the_store() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        first = await serving(fleet, "e1")
+        second = await serving(fleet, "e2")
+        await until(lambda: not second.should_read() and first.should_read())
+        await asyncio.sleep(0.3)
+        fleet.configure()
+        await until(lambda: first.version == second.version == fleet.store.ver + 15, 1.0)
+
+    play(scenario)
+
+
+def test_an_entry_takes_over_when_the_reader_is_gone() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        first = await serving(fleet, "e1")
+        second = await serving(fleet, "e2")
+        await until(lambda: not second.should_read())
+        first.stopping.set()
+        await asyncio.sleep(0.6)
+        fleet.configure()
+        await until(lambda: second.version == fleet.store.ver + 15, 1.5)
+
+    play(scenario)
+
+
+def test_an_entry_that_starts_while_the_store_is_away_learns_from_others() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        first = await serving(fleet, "e1")
+        fleet.store.status = 503
+        second = await fleet.start_process("e2", (first.settings.peer,))
+        assert (await ask(second)).status == 503
+        await until(lambda: second.ready, 5.0)
+        assert second.version == first.version
+        assert (await ask(second)).status == 200
+
+    play(scenario)
+
+
+def test_a_planned_stop_ends_what_is_in_flight() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        process = await serving(fleet)
+        for target in fleet.targets:
+            target.reply = "slow"
+        asking = asyncio.ensure_future(ask(process))
+        await asyncio.sleep(0.1)
+        process.stopping.set()
+        await asyncio.sleep(0)
+        assert not await is_ready(process)
+        answer = await asking
+        assert answer.status == 200
+        assert answer.header(b"connection") == b"close"
+        await until(lambda: process.ended)
+        with pytest.raises(ConnectError):
+            await ask(process)
+
+    play(scenario)
+
+
+def test_a_caller_that_leaves_cancels_what_may_run_again_and_nothing_else() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        process = await serving(fleet)
+        target = fleet.targets[0]
+        fleet.store.put("servers", "i1", None)
+        await until(lambda: len(process.listed) == 1)
+        target.reply = "hang"
+        for path, cancelled in ((READ, True), (BOOK, False)):
+            target.gone.clear()
+            asking = asyncio.ensure_future(ask(process, path, request=path))
+            await until(lambda path=path: path in target.ran)  # type: ignore[misc]
+            asking.cancel()
+            await asyncio.sleep(0.1)
+            assert target.gone.is_set() is cancelled
+
+    play(scenario)
+
+
+def test_settings_that_change_are_read_again() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        process = await fleet.start_process("e1", (ANY,))
+        process.read_settings()
+        assert process.settings.peers == ()
+
+    play(scenario)
