Tell the story of one request from logs: cactusvane explain

Cause: one line each for placing, configuration and targets lay apart, in the logs of many VMs. Change: a command that gathers the lines of a request and adds what its VM believed then and since when; each line names its VM.

--- a/cactusvane/daemon.py
+++ b/cactusvane/daemon.py
@@ -308,7 +308,7 @@
     except InputError as error:
         print(f"cactusvaned: {error}", file=sys.stderr)
         sys.exit(USAGE_ERROR)
-    events.configure()
+    events.configure(settings.vm)
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -93,7 +93,17 @@
 
 
 class JsonLines(logging.Formatter):
-    """Format each record as one JSON object on one line."""
+    """Format each record as one JSON object on one line.
+
+    Parameters
+    ----------
+    vm
+        The VM that logs; a member of every line.
+    """
+
+    def __init__(self, vm: str) -> None:
+        super().__init__()
+        self.vm = vm
 
     def format(self, record: logging.LogRecord) -> str:
         """Return the record as JSON text.
@@ -110,6 +120,7 @@
         """
         line: dict[str, object] = {
             "time": record.created,
+            "vm": self.vm,
             "level": record.levelname.lower(),
             "event": getattr(record, "number", 0),
             "message": record.getMessage(),
@@ -144,10 +155,10 @@
     return msgspec.json.encode(line).decode()
 
 
-def configure(level: int = logging.INFO) -> None:
-    """Send all events to standard output as JSON lines, from `level` upward."""
+def configure(vm: str, level: int = logging.INFO) -> None:
+    """Send all events of a VM to standard output as JSON lines, from `level` upward."""
     handler = BoundedHandler(STANDARD_OUTPUT, dropped_line)
-    handler.setFormatter(JsonLines())
+    handler.setFormatter(JsonLines(vm))
     log.addHandler(handler)
     log.setLevel(level)
     log.propagate = False
--- a/cactusvane/ui/__init__.py
+++ b/cactusvane/ui/__init__.py
@@ -9,6 +9,7 @@
 from cactusvane.ui.codes import ExitCode, exit_code
 from cactusvane.ui.commands import report, show
 from cactusvane.ui.commands.check import check
+from cactusvane.ui.commands.explain import explain_request
 from cactusvane.ui.commands.publish import publish_files
 from cactusvane.ui.commands.status import status
 
@@ -28,6 +29,7 @@
 app.command("check")(check)
 app.command("publish")(publish_files)
 app.command("status")(status)
+app.command("explain")(explain_request)
 app.add_typer(show.app, name="show")
 app.add_typer(report.app, name="report")
 
--- /dev/null
+++ b/tests/test_report_explain.py
@@ -0,0 +1,59 @@
+"""The story of a request, told from logs of several VMs."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from cactusvane.report.explain import explain, story
+from cactusvane.ui import run
+from cactusvane.ui.codes import ExitCode
+
+
+def line(time: float, vm: str, event: int, message: str, **members: object) -> str:
+    return json.dumps({"time": time, "vm": vm, "event": event, "message": message, **members})
+
+
+LOG = [
+    line(1.0, "e1", 1601, "version 4 is in force", version=4),
+    line(2.0, "e1", 1801, "records: t1 is listed, live", target="t1"),
+    line(3.0, "e2", 1801, "records: t1 is listed, live", target="t1"),
+    "a line of somebody else",
+    line(4.0, "e1", 1701, "targets: the platform does not answer", table="targets"),
+    "collector: "
+    + line(5.0, "e1", 1804, "q1: t1: unreachable", request="q1", attempt={"target": "t1"}),
+    line(5.5, "e1", 1805, "q1: 200, ran", request="q1", status=200, last={"target": "t2"}),
+    line(5.6, "e2", 1805, "q2: 200, ran", request="q2", status=200, last={"target": "t1"}),
+]
+
+
+def test_the_lines_of_a_request_come_with_what_its_vm_believed() -> None:
+    first, last = explain("q1", LOG)
+    assert (first.vm, first.event) == ("e1", 1804)
+    ages = {belief.text: belief.age_s for belief in first.beliefs}
+    assert ages == {
+        "records: t1 is listed, live": 3.0,
+        "version 4 is in force": 4.0,
+        "targets: the platform does not answer": 1.0,
+    }
+    assert last.details["status"] == 200
+    assert "known for 3.000 s: records: t1 is listed, live" in story((first, last))
+
+
+def test_an_outage_that_is_over_is_not_told() -> None:
+    log = [*LOG[:5], line(4.5, "e1", 1702, "targets: answers again", table="targets"), *LOG[5:]]
+    first, _ = explain("q1", log)
+    assert all("does not answer" not in belief.text for belief in first.beliefs)
+
+
+def test_the_command(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    one, two = tmp_path / "e1.log", tmp_path / "e2.log"
+    one.write_text("\n".join(LOG[:4]))
+    two.write_text("\n".join(LOG[4:]))
+    assert run(["explain", "q1", str(one), str(two)]) == ExitCode.OK
+    assert "[1804] q1: t1: unreachable" in capsys.readouterr().out
+    assert run(["explain", "q2", str(two), "--json"]) == ExitCode.OK
+    (step,) = json.loads(capsys.readouterr().out)
+    assert step["vm"] == "e2"
+    assert run(["explain", "q9", str(one)]) == ExitCode.FAILED
+    assert run(["explain", "q1", str(tmp_path / "none")]) != ExitCode.OK
