Weigh failures higher than the way to another failure domain

Change: a failure of an idempotent request costs 0.9 of its time, the way to another domain 0.6 of the objective.

--- a/cactusvane/placement/settings.py
+++ b/cactusvane/placement/settings.py
@@ -48,8 +48,8 @@
     prior_failures: float = 0.02
     prior_weight: float = 1.0
     failure_cost: float = 1.0
-    retry_cost: float = 0.7
-    far_share: float = 0.3
+    retry_cost: float = 0.9
+    far_share: float = 0.6
     spread_share: float = 0.3
     cold_factor: float = 2.0
     wait_share: float = 0.125
