Part the entry from how its targets are chosen; one word for the platform's interface

Cause: entry.py held routing, pools, gates, probes and the choice between two ways of placing in one class, and a process that shares loads imported pools and keepers it never uses.

--- a/bench/added.py
+++ b/bench/added.py
@@ -29,9 +29,9 @@
 from cactusvane.errors import ExchangeError, PlatformError
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.http.client import fetch
-from cactusvane.platform.client import HttpPlatform
-from cactusvane.platform.messages import VmList
 from cactusvane.settings import HttpLimits, Settings
+from cactusvane.store.client import HttpPlatform
+from cactusvane.store.messages import VmList
 
 HOST = "127.0.0.1"
 ROUTES = (
--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -4,14 +4,8 @@
 
 from cactusvane.configuration.model import Service
 from cactusvane.fleet.vm import Address
-from cactusvane.pool.messages import (
-    AttemptEnded,
-    Ejected,
-    Outcome,
-    PoolCommand,
-    PoolEvent,
-    Ticked,
-)
+from cactusvane.outcome import Outcome
+from cactusvane.pool.messages import AttemptEnded, Ejected, PoolCommand, PoolEvent, Ticked
 from cactusvane.pool.pool import FAILED, Pool
 from cactusvane.pool.settings import PoolSettings
 
--- a/bench/calm.py
+++ b/bench/calm.py
@@ -11,6 +11,7 @@
 from bench.faults import ENTRIES, FAILURE_DOMAINS
 from cactusvane.configuration.model import Health, Route, Service
 from cactusvane.fleet.vm import Address, Vm
+from cactusvane.outcome import Outcome
 from cactusvane.pool.keeper import Keeper
 from cactusvane.pool.messages import (
     AttemptEnded,
@@ -18,7 +19,6 @@
     Ejected,
     Ejection,
     EvidenceReported,
-    Outcome,
     ReportEvidence,
     TargetCounts,
     TargetsListed,
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -31,12 +31,12 @@
     Status,
 )
 from cactusvane.fleet.messages import Ticked as FleetTicked
+from cactusvane.outcome import Outcome
 from cactusvane.pool.keeper import Keeper
 from cactusvane.pool.messages import (
     AttemptEnded,
     AttemptStarted,
     EvidenceReported,
-    Outcome,
     TargetCounts,
     TargetsListed,
     Ticked,
--- a/bench/following.py
+++ b/bench/following.py
@@ -18,8 +18,8 @@
 from cactusvane.configuration.merge import Change, digest_services
 from cactusvane.configuration.publish import publish
 from cactusvane.fleet.vm import Address
-from cactusvane.platform.client import HttpPlatform
 from cactusvane.settings import Settings
+from cactusvane.store.client import HttpPlatform
 from standins.platform import PlatformServer
 from standins.store import Faults
 
--- a/bench/model.py
+++ b/bench/model.py
@@ -24,6 +24,7 @@
 )
 from cactusvane.configuration.model import Health, Route, Service
 from cactusvane.fleet.vm import Address, Vm
+from cactusvane.outcome import Outcome
 from cactusvane.pool.keeper import Keeper
 from cactusvane.pool.messages import (
     AttemptEnded,
@@ -33,7 +34,6 @@
     EjectionHeard,
     EvidenceReported,
     KeeperCommand,
-    Outcome,
     PoolCommand,
     Probe,
     ProbeEnded,
--- a/bench/slots.py
+++ b/bench/slots.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from cactusvane.fleet.vm import Address, Vm
-from cactusvane.pool.messages import Outcome
+from cactusvane.outcome import Outcome
 from cactusvane.slots.entry import EntrySlots
 from cactusvane.slots.keeper import SlotKeeper
 from cactusvane.slots.messages import (
--- a/cactusvane/claims/claiming.py
+++ b/cactusvane/claims/claiming.py
@@ -5,7 +5,7 @@
 from cactusvane.claims.record import KeyState, Outcome, Record, decode, encode
 from cactusvane.configuration.model import KeyedPolicy
 from cactusvane.errors import RequestError
-from cactusvane.platform.interface import ABSENT, Row
+from cactusvane.store.interface import ABSENT, Row
 from cactusvane.verdict import Verdict
 
 MOST_SILENCES = 2
--- a/cactusvane/claims/claims.py
+++ b/cactusvane/claims/claims.py
@@ -40,7 +40,7 @@
 from cactusvane.errors import PlatformUnavailableError, WriteConflictError
 from cactusvane.events import Event
 from cactusvane.http.message import Request
-from cactusvane.platform.interface import ABSENT, Platform, Row, Write
+from cactusvane.store.interface import ABSENT, Platform, Row, Write
 from cactusvane.verdict import Verdict
 
 WRITES_PER_SECOND = 300.0
--- a/cactusvane/configuration/follow.py
+++ b/cactusvane/configuration/follow.py
@@ -27,8 +27,8 @@
 from cactusvane.errors import NotFoundError, PlatformError
 from cactusvane.events import Event
 from cactusvane.fleet.vm import Address
-from cactusvane.platform.interface import Platform
 from cactusvane.settings import Settings
+from cactusvane.store.interface import Platform
 
 READS_PER_SECOND = 200.0
 """Reads of the head that the whole fleet may do."""
--- a/cactusvane/configuration/publish.py
+++ b/cactusvane/configuration/publish.py
@@ -15,7 +15,7 @@
     PublishUnsettledError,
     WriteConflictError,
 )
-from cactusvane.platform.interface import ABSENT, Platform, Row, Write
+from cactusvane.store.interface import ABSENT, Platform, Row, Write
 
 TABLE = "configuration"
 HEAD_KEY = "head"
--- a/cactusvane/daemon.py
+++ b/cactusvane/daemon.py
@@ -21,19 +21,19 @@
 from cactusvane.clock import MS_PER_SECOND, Clock
 from cactusvane.configuration.follow import Follower
 from cactusvane.configuration.model import Configuration
-from cactusvane.entry import Entry
 from cactusvane.errors import InputError, PlatformError, SettingsError
 from cactusvane.events import Event
 from cactusvane.fleet.vm import Vm
 from cactusvane.http.check import bad_request
 from cactusvane.http.message import Answer, Request
 from cactusvane.http.server import Caller, Server
+from cactusvane.keeper_entry import KeeperEntry
 from cactusvane.metrics import Recorder
 from cactusvane.peers.node import Node
-from cactusvane.platform.client import HttpPlatform
 from cactusvane.report.ledger import BUCKET_MS
 from cactusvane.report.store import flush
 from cactusvane.settings import Settings, check_addresses
+from cactusvane.store.client import HttpPlatform
 
 TICK_MS = 100
 """How often time passes in the pools."""
@@ -131,7 +131,7 @@
         self.settings = settings
         self.clock = Clock()
         self.recorder = Recorder()
-        self.entry = Entry(settings, self.clock, Random(settings.seed), self.recorder)
+        self.entry = KeeperEntry(settings, self.clock, Random(settings.seed), self.recorder)
         self.platform = HttpPlatform(settings.platform)
         claim_table = HttpPlatform(settings.platform, CLAIM_TIMEOUT_MS)
         self.claims = Claims(claim_table, self.clock, SystemRandom(), settings.vm)
@@ -149,7 +149,7 @@
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here."""
-        serves = self.version > 0 and self.listed and not self.entry.reaches_nothing
+        serves = self.version > 0 and self.listed and not self.entry.keepers.reaches_nothing
         return serves and not self.stopping.is_set()
 
     @property
@@ -276,7 +276,7 @@
     def status(self) -> Status:
         """Return what this VM knows."""
         services = {}
-        for name, state in self.entry.services.items():
+        for name, state in self.entry.keepers.services.items():
             pool = state.pool
             services[name] = tuple(
                 TargetStatus(str(address), target.vm.failure_domain, target.in_flight)
--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -19,8 +19,8 @@
 from cactusvane.http.stream import RelayedStream
 from cactusvane.keyed import Keyed, run_keyed
 from cactusvane.metrics import KindRecord
+from cactusvane.outcome import Outcome
 from cactusvane.placement.messages import Demand, Inputs
-from cactusvane.pool.messages import Outcome
 from cactusvane.report.order import in_good_order, objective_of
 from cactusvane.request.admission import Ticket
 from cactusvane.request.attempts import (
@@ -104,7 +104,7 @@
         self.clock = entry.clock
         self.route = match.route
         self.service = match.service
-        self.admission = entry.admissions[match.service.name]
+        self.admission = entry.placer.admissions[match.service.name]
         self.request = request
         own = self.vocabulary.set_by_entries
         self.headers = [field for field in end_to_end(request.headers) if field[0] not in own]
@@ -333,7 +333,7 @@
             if connection is None:
                 return Lost(Outcome.UNREACHABLE, Verdict.NOT_RUN, text)
             return Lost(Outcome.TIMED_OUT, Verdict.MAY_HAVE_RUN, text)
-        return self.receive(address, answer, started)
+        return await self.receive(address, answer, started)
 
     def outgoing(self, remaining_ms: float) -> Request:
         """Return the request as targets get it, with what is left of its deadline."""
@@ -376,13 +376,13 @@
             return Lost(Outcome.DRAINING, Verdict.NOT_RUN, f"{address}: is draining")
         return None
 
-    def receive(self, address: Address, answer: Answer, started: float) -> AttemptResult:
+    async def receive(self, address: Address, answer: Answer, started: float) -> AttemptResult:
         """Tell an answer from a target's word that it did not start."""
         if refused := self.refused(address, answer):
             return refused
         if not self.route.idempotent and answer.status in NOT_RUN_STATUSES:
             if answer.rest is not None:
-                self.entry.start(answer.rest.aclose())
+                await answer.rest.aclose()
             text = f"{address}: answered {answer.status} and may have run the request"
             return Lost(Outcome.FAILED, Verdict.MAY_HAVE_RUN, text)
         rest = None
--- a/cactusvane/fleet/vm.py
+++ b/cactusvane/fleet/vm.py
@@ -66,3 +66,11 @@
     state: VmState = VmState.LIVE
     slots: int = 0
     warm_up_ms: float = 0.0
+
+
+def group_by_service(vms: tuple[Vm, ...]) -> dict[str, tuple[Vm, ...]]:
+    """Return the VMs of a list by service, the fleet's own under an empty name."""
+    groups: dict[str, list[Vm]] = {}
+    for vm in vms:
+        groups.setdefault(vm.service, []).append(vm)
+    return {name: tuple(group) for name, group in groups.items()}
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -13,7 +13,7 @@
 
 from cactusvane import events
 from cactusvane.clock import MS_PER_SECOND, Clock
-from cactusvane.entry import Entry, SharedPlacing
+from cactusvane.entry import Entry
 from cactusvane.errors import CactusvaneError, PlatformError
 from cactusvane.events import Event
 from cactusvane.fleet.lapse import LapsedTargets
@@ -31,6 +31,7 @@
 from cactusvane.following.readers import Candidate, is_reader
 from cactusvane.following.source import TableSource
 from cactusvane.http.check import bad_request
+from cactusvane.http.connection import TargetConnections
 from cactusvane.http.message import Answer, Request
 from cactusvane.http.server import Caller, Server
 from cactusvane.http.vocabulary import Vocabulary
@@ -38,6 +39,7 @@
 from cactusvane.placement.domain import Domain
 from cactusvane.placement.messages import Notice, Reading
 from cactusvane.placement.notices import NoticeEndpoint
+from cactusvane.placement.placer import SharedPlacer
 from cactusvane.settings import HttpLimits, Settings
 
 CONFIGURATION_TABLE = "configuration"
@@ -60,7 +62,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Platform:
+class PlatformParts:
     """What a process needs of the platform.
 
     Parameters
@@ -119,7 +121,7 @@
         self,
         settings: Settings,
         fleet: FleetLimits,
-        platform: Platform,
+        platform: PlatformParts,
         reload: Callable[[], Settings],
     ) -> None:
         self.settings = settings
@@ -131,9 +133,15 @@
         self.recorder = Recorder()
         started = int(self.clock.wall())
         self.domain = Domain(settings.vm, settings.failure_domain, started, self.random)
-        placing = SharedPlacing(self.domain, self.announce)
+        self.placer = SharedPlacer(self.domain, self.clock, self.announce)
         self.entry = Entry(
-            settings, self.clock, self.random, self.recorder, placing, platform.vocabulary
+            settings,
+            self.clock,
+            self.random,
+            self.recorder,
+            self.placer,
+            TargetConnections(settings.http, self.clock, spares=0),
+            platform.vocabulary,
         )
         self.exchange = EntryExchange(settings.http)
         self.followers = {
@@ -330,12 +338,7 @@
                 self.start(follower.catch_up(address, version))
         if notice.reading.failure_age_ms is not None:
             self.lapsed.failed(self.clock.now() - notice.reading.failure_age_ms)
-        self.wake()
-
-    def wake(self) -> None:
-        """Let waiting requests ask again."""
-        for admission in self.entry.shared_admissions:
-            admission.wake()
+        self.placer.wake()
 
     def announce(self, urgent: bool) -> None:
         """Tell the other entries soon, or at once where the news is urgent."""
@@ -361,7 +364,7 @@
         while True:
             await asyncio.sleep(TICK_MS / MS_PER_SECOND)
             now = self.clock.now()
-            self.domain.expire(now)
+            self.entry.tick()
             self.share_retries(now)
             self.watch_store(now)
             if now - self.told_at >= BEAT_MS:
--- a/cactusvane/http/stream.py
+++ b/cactusvane/http/stream.py
@@ -6,7 +6,7 @@
 from cactusvane.clock import MS_PER_SECOND
 from cactusvane.errors import BrokenAnswerError
 from cactusvane.http.message import BodyStream
-from cactusvane.pool.messages import Outcome
+from cactusvane.outcome import Outcome
 
 
 class RelayedStream:
--- a/cactusvane/metrics.py
+++ b/cactusvane/metrics.py
@@ -8,7 +8,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from cactusvane.pool.messages import Outcome
+from cactusvane.outcome import Outcome
 from cactusvane.verdict import Verdict
 
 US_PER_MS = 1_000
--- a/cactusvane/peers/codec.py
+++ b/cactusvane/peers/codec.py
@@ -19,6 +19,7 @@
     Sync,
 )
 from cactusvane.fleet.vm import Address, Vm, VmState
+from cactusvane.outcome import Outcome
 from cactusvane.peers.generated import peers_pb2 as pb
 from cactusvane.peers.messages import (
     EntryMessage,
@@ -30,7 +31,7 @@
     ServiceLeaving,
     ServiceReturn,
 )
-from cactusvane.pool.messages import Ejection, Outcome, ReportEvidence, ReportLeaving, TargetCounts
+from cactusvane.pool.messages import Ejection, ReportEvidence, ReportLeaving, TargetCounts
 from cactusvane.slots.messages import Ask, Credit, CreditsAnswered, CreditUse, Use
 
 
--- a/cactusvane/peers/node.py
+++ b/cactusvane/peers/node.py
@@ -9,7 +9,6 @@
 from cactusvane.clock import MS_PER_SECOND, Clock
 from cactusvane.configuration.follow import Follower
 from cactusvane.configuration.model import Configuration
-from cactusvane.entry import Entry
 from cactusvane.events import Event
 from cactusvane.fleet.assignment import Assignment
 from cactusvane.fleet.cells import keepers
@@ -29,6 +28,7 @@
     Ticked,
 )
 from cactusvane.fleet.vm import Address, Vm
+from cactusvane.keeper_entry import KeeperEntry
 from cactusvane.peers.cell import Cell, CellCommand, ToAll, ToOne
 from cactusvane.peers.client import (
     Channels,
@@ -84,7 +84,9 @@
         Takes heads that peers have in force.
     """
 
-    def __init__(self, settings: Settings, clock: Clock, entry: Entry, follower: Follower) -> None:
+    def __init__(
+        self, settings: Settings, clock: Clock, entry: KeeperEntry, follower: Follower
+    ) -> None:
         self.settings = settings
         self.clock = clock
         self.entry = entry
@@ -104,7 +106,7 @@
         self.ticking: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         follower.fetch_from_peers = self.fetch_from_peers
-        entry.report = self.report
+        entry.keepers.report = self.report
 
     def own_vm(self) -> Vm:
         """Return this VM as others see it."""
@@ -278,7 +280,7 @@
 
     def show_targets(self, name: str) -> None:
         """Tell a cell of the targets that this VM's own pool holds."""
-        state = self.entry.services.get(name)
+        state = self.entry.keepers.services.get(name)
         if state is None:
             return
         listed = tuple(target.vm for target in state.pool.targets.values())
@@ -296,12 +298,12 @@
         self.follower.vms = len(live)
         before = self.keepers
         self.assignment.set_vms(live)
-        self.assignment.set_cells(self.entry.services)
+        self.assignment.set_cells(self.entry.keepers.services)
         ranked = self.assignment.keepers
         self.keepers = {name: chosen[0] for name, chosen in ranked.items() if chosen}
         self.assign_cells()
         self.assign_links()
-        for name, state in self.entry.services.items():
+        for name, state in self.entry.keepers.services.items():
             state.gate.tell(FleetSized(len(live)))
             state.gate.send = partial(self.ask, name)
             keeper = self.keepers.get(name)
@@ -315,7 +317,7 @@
         for name in self.cells.keys() - mine:
             del self.cells[name]
         for name in mine:
-            service = self.entry.services[name].pool.service
+            service = self.entry.keepers.services[name].pool.service
             if name in self.cells:
                 self.cells[name].configure(service, now)
             else:
@@ -355,12 +357,12 @@
         own = keeper is not None and keeper.name == self.settings.vm
         link = self.links.get(keeper.peer) if keeper and keeper.peer else None
         reachable = own or (link is not None and link.up)
-        self.entry.services[service].gate.tell(KeeperChanged(reachable))
+        self.entry.keepers.services[service].gate.tell(KeeperChanged(reachable))
 
     def link_changed(self, peer: Address, up: bool) -> None:
         """Take in that the stream to a keeper stands or broke."""
         for service, keeper in self.keepers.items():
-            if keeper.peer == peer and service in self.entry.services:
+            if keeper.peer == peer and service in self.entry.keepers.services:
                 self.show_keeper(service)
 
     def report(self, report: ReportEvidence | ReportLeaving) -> None:
@@ -389,17 +391,17 @@
 
     def hear(self, keeper: str, message: KeeperMessage) -> None:
         """Take in what the keeper of a service says."""
-        state = self.entry.services.get(message.service)
+        state = self.entry.keepers.services.get(message.service)
         known = self.keepers.get(message.service)
         if state is None or known is None or known.name != keeper:
             return
         match message:
             case ServiceEjection(_, ejection):
-                self.entry.tell(state.pool, EjectionHeard(ejection))
+                self.entry.keepers.tell(state.pool, EjectionHeard(ejection))
             case ServiceReturn(_, target):
-                self.entry.tell(state.pool, ReturnHeard(target))
+                self.entry.keepers.tell(state.pool, ReturnHeard(target))
             case ServiceLeaving(_, target):
-                self.entry.tell(state.pool, LeavingNoticed(target, NoticeSource.ANSWER))
+                self.entry.keepers.tell(state.pool, LeavingNoticed(target, NoticeSource.ANSWER))
             case ServiceCredits(_, answer):
                 state.gate.tell(answer)
 
--- a/cactusvane/placement/admission.py
+++ b/cactusvane/placement/admission.py
@@ -5,10 +5,10 @@
 
 from cactusvane.clock import MS_PER_SECOND, Clock
 from cactusvane.fleet.vm import Address
+from cactusvane.outcome import Outcome
 from cactusvane.placement.domain import Domain
 from cactusvane.placement.messages import Demand, Observation, Place, Reject, Wait
 from cactusvane.placement.placement import BAD, Placement
-from cactusvane.pool.messages import Outcome
 from cactusvane.request.admission import Ticket
 
 
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -13,6 +13,7 @@
 from random import Random
 
 from cactusvane.fleet.vm import Address, Vm
+from cactusvane.outcome import Outcome
 from cactusvane.placement.messages import (
     Decision,
     Demand,
@@ -25,7 +26,6 @@
 from cactusvane.placement.settings import PlacementSettings
 from cactusvane.placement.target import Target
 from cactusvane.placement.work import WorkTimes
-from cactusvane.pool.messages import Outcome
 
 BAD = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.TIMED_OUT})
 """Outcomes that speak against a target that was reached."""
--- /dev/null
+++ b/cactusvane/placement/placer.py
@@ -0,0 +1,55 @@
+"""Targets chosen by what the entries of a failure domain share."""
+
+from collections.abc import Callable
+
+from cactusvane.clock import Clock
+from cactusvane.configuration.model import Configuration
+from cactusvane.fleet.vm import Vm
+from cactusvane.placement.admission import SharedAdmission
+from cactusvane.placement.domain import Domain
+from cactusvane.request.admission import Admission
+
+
+class SharedPlacer:
+    """Admissions of all services of one entry; for few requests a second.
+
+    Parameters
+    ----------
+    domain
+        What the entries share.
+    clock
+        The process's clock.
+    announce
+        Called when the others have something to hear, and whether it is urgent.
+    """
+
+    def __init__(self, domain: Domain, clock: Clock, announce: Callable[[bool], None]) -> None:
+        self.domain = domain
+        self.clock = clock
+        self.announce = announce
+        self.shared: dict[str, SharedAdmission] = {}
+        self.admissions: dict[str, Admission] = {}
+
+    def configure(self, configuration: Configuration) -> None:
+        """Put a configuration in force; what is known of services that stay is kept."""
+        self.domain.configure(configuration, self.clock.now())
+        before = self.shared
+        self.shared = {
+            name: before.get(name)
+            or SharedAdmission(placement, self.domain, self.clock, self.announce)
+            for name, placement in self.domain.placements.items()
+        }
+        self.admissions = dict(self.shared)
+
+    def list_vms(self, listed: dict[str, tuple[Vm, ...]]) -> None:
+        """Take in the targets by service."""
+        self.domain.list_targets(listed, self.clock.now())
+
+    def tick(self) -> None:
+        """Let entries that fell silent count no more."""
+        self.domain.expire(self.clock.now())
+
+    def wake(self) -> None:
+        """Let waiting requests ask again."""
+        for admission in self.shared.values():
+            admission.wake()
--- a/cactusvane/pool/messages.py
+++ b/cactusvane/pool/messages.py
@@ -5,19 +5,7 @@
 
 from cactusvane.configuration.model import Service
 from cactusvane.fleet.vm import Address, Vm
-
-
-class Outcome(Enum):
-    """How one attempt at a target ended."""
-
-    SERVED = "served"
-    FAILED = "failed"
-    TIMED_OUT = "timed-out"
-    BROKEN = "broken"
-    UNREACHABLE = "unreachable"
-    SHED = "shed"
-    DRAINING = "draining"
-    CANCELLED = "cancelled"
+from cactusvane.outcome import Outcome
 
 
 class NoticeSource(Enum):
--- a/cactusvane/pool/own_path.py
+++ b/cactusvane/pool/own_path.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterable
 
 from cactusvane.fleet.vm import Address
-from cactusvane.pool.messages import Outcome, Probe
+from cactusvane.outcome import Outcome
+from cactusvane.pool.messages import Probe
 
 FEWEST_IN_A_ROW = 2
 """Path failures in a row after which a target looks unreachable."""
--- a/cactusvane/pool/pool.py
+++ b/cactusvane/pool/pool.py
@@ -6,6 +6,7 @@
 
 from cactusvane.configuration.model import Service
 from cactusvane.fleet.vm import Address, Vm, VmState
+from cactusvane.outcome import Outcome
 from cactusvane.pool.evidence import Stream
 from cactusvane.pool.floor import Candidate, left_out
 from cactusvane.pool.latency import RunningMedian
@@ -18,7 +19,6 @@
     EjectionHeard,
     LeavingNoticed,
     NoticeSource,
-    Outcome,
     PoolCommand,
     PoolEvent,
     Probe,
--- a/cactusvane/report/store.py
+++ b/cactusvane/report/store.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from cactusvane.errors import PlatformUnavailableError, WriteConflictError
-from cactusvane.platform.interface import ABSENT, Platform, Write
 from cactusvane.report.ledger import Bucket, Ledger
+from cactusvane.store.interface import ABSENT, Platform, Write
 
 TABLE = "burn"
 START_DIGITS = 15
--- a/cactusvane/request/admission.py
+++ b/cactusvane/request/admission.py
@@ -2,9 +2,10 @@
 
 from typing import Protocol
 
-from cactusvane.fleet.vm import Address
+from cactusvane.configuration.model import Configuration
+from cactusvane.fleet.vm import Address, Vm
+from cactusvane.outcome import Outcome
 from cactusvane.placement.messages import Demand, Place, Reject
-from cactusvane.pool.messages import Outcome
 
 
 class Ticket:
@@ -34,6 +35,27 @@
         self.rejection: Reject | None = None
 
 
+class Placer(Protocol):
+    """Chooses targets for the requests of all services.
+
+    Attributes
+    ----------
+    admissions
+        By service.
+    """
+
+    admissions: dict[str, "Admission"]
+
+    def configure(self, configuration: Configuration) -> None:
+        """Put a configuration in force."""
+
+    def list_vms(self, listed: dict[str, tuple[Vm, ...]]) -> None:
+        """Take in the VM list, by service."""
+
+    def tick(self) -> None:
+        """Let time pass."""
+
+
 class Admission(Protocol):
     """Lets the requests of one service through to its targets."""
 
--- a/cactusvane/request/attempts.py
+++ b/cactusvane/request/attempts.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from cactusvane.configuration.model import Route
-from cactusvane.pool.messages import Outcome
+from cactusvane.outcome import Outcome
 from cactusvane.request.budget import RetryBudget, RetrySettings
 from cactusvane.verdict import Verdict
 
--- a/cactusvane/slots/admission.py
+++ b/cactusvane/slots/admission.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable
 
 from cactusvane.fleet.vm import Address
+from cactusvane.outcome import Outcome
 from cactusvane.placement.messages import Demand
-from cactusvane.pool.messages import AttemptEnded, AttemptStarted, Outcome, PoolEvent
+from cactusvane.pool.messages import AttemptEnded, AttemptStarted, PoolEvent
 from cactusvane.request.admission import Ticket
 from cactusvane.slots.gate import Gate, GateTicket
 
--- a/cactusvane/slots/entry.py
+++ b/cactusvane/slots/entry.py
@@ -13,7 +13,7 @@
 from random import Random
 
 from cactusvane.fleet.vm import Address, Vm
-from cactusvane.pool.messages import Outcome
+from cactusvane.outcome import Outcome
 from cactusvane.slots.messages import (
     Arrived,
     Ask,
--- a/cactusvane/slots/gate.py
+++ b/cactusvane/slots/gate.py
@@ -9,7 +9,7 @@
 from cactusvane.clock import MS_PER_SECOND, Clock
 from cactusvane.events import Event
 from cactusvane.fleet.vm import Address
-from cactusvane.pool.messages import Outcome
+from cactusvane.outcome import Outcome
 from cactusvane.slots.entry import EntrySlots
 from cactusvane.slots.messages import (
     Arrived,
--- a/cactusvane/slots/keeper.py
+++ b/cactusvane/slots/keeper.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from cactusvane.fleet.vm import Address, Vm
-from cactusvane.pool.messages import Outcome
+from cactusvane.outcome import Outcome
 from cactusvane.slots.messages import (
     Ask,
     Credit,
--- a/cactusvane/slots/messages.py
+++ b/cactusvane/slots/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from cactusvane.fleet.vm import Address, Vm
-from cactusvane.pool.messages import Outcome
+from cactusvane.outcome import Outcome
 
 
 @dataclass(frozen=True, slots=True)
--- a/cactusvane/platform/client.py
+++ b/cactusvane/store/client.py
@@ -12,9 +12,9 @@
 )
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.http.client import fetch
-from cactusvane.platform.interface import Row, Write
-from cactusvane.platform.messages import Rows, Transaction, VmList
 from cactusvane.settings import HttpLimits
+from cactusvane.store.interface import Row, Write
+from cactusvane.store.messages import Rows, Transaction, VmList
 
 OK = 200
 NOT_FOUND = 404
--- a/cactusvane/platform/messages.py
+++ b/cactusvane/store/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from cactusvane.fleet.vm import Vm
-from cactusvane.platform.interface import Row, Write
+from cactusvane.store.interface import Row, Write
 
 
 @dataclass(frozen=True, slots=True)
--- a/cactusvane/ui/commands/publish.py
+++ b/cactusvane/ui/commands/publish.py
@@ -14,8 +14,8 @@
 from cactusvane.configuration.publish import Published, publish
 from cactusvane.errors import InputError, PlatformError
 from cactusvane.fleet.vm import Address
-from cactusvane.platform.client import HttpPlatform
-from cactusvane.platform.interface import Platform
+from cactusvane.store.client import HttpPlatform
+from cactusvane.store.interface import Platform
 from cactusvane.ui.base import read_base, write_base
 from cactusvane.ui.codes import ExitCode
 from cactusvane.ui.fleet import ask_all, entry_vms
--- a/cactusvane/ui/commands/report.py
+++ b/cactusvane/ui/commands/report.py
@@ -10,10 +10,10 @@
 from cactusvane.configuration.publish import read_base
 from cactusvane.errors import InputError
 from cactusvane.fleet.vm import Address
-from cactusvane.platform.client import HttpPlatform
 from cactusvane.report.burn import BUDGET_WINDOW_MS, BurnReport, KindBurn, report
 from cactusvane.report.page import render
 from cactusvane.report.store import load
+from cactusvane.store.client import HttpPlatform
 from cactusvane.ui.fleet import ask_buckets, entry_vms
 from cactusvane.ui.options import DEFAULT_PLATFORM, JsonOption, PlatformOption
 from cactusvane.ui.output import print_result, table
--- a/cactusvane/ui/commands/show.py
+++ b/cactusvane/ui/commands/show.py
@@ -11,7 +11,7 @@
 from cactusvane.configuration.tree import read
 from cactusvane.errors import NotFoundError
 from cactusvane.fleet.vm import Address, Vm
-from cactusvane.platform.client import HttpPlatform
+from cactusvane.store.client import HttpPlatform
 from cactusvane.ui.fleet import VmReport, ask_all, entry_vms
 from cactusvane.ui.options import DEFAULT_PLATFORM, JsonOption, PlatformOption
 from cactusvane.ui.output import print_result, table
--- a/cactusvane/ui/commands/status.py
+++ b/cactusvane/ui/commands/status.py
@@ -5,7 +5,7 @@
 
 from cactusvane.configuration.publish import read_head
 from cactusvane.fleet.vm import Address
-from cactusvane.platform.client import HttpPlatform
+from cactusvane.store.client import HttpPlatform
 from cactusvane.ui.codes import ExitCode
 from cactusvane.ui.fleet import VmReport, ask_all, entry_vms
 from cactusvane.ui.options import DEFAULT_PLATFORM, JsonOption, PlatformOption
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from cactusvane.clock import MS_PER_SECOND, Clock
-from cactusvane.platform.messages import Rows, Transaction, VmList
+from cactusvane.store.messages import Rows, Transaction, VmList
 from standins.store import Counters, Faults, Store
 
 READ_BYTES = 65_536
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -13,7 +13,7 @@
 
 from cactusvane.errors import ConnectError
 from cactusvane.fleet.vm import Address
-from cactusvane.fleet_process import FleetLimits, FleetProcess, Platform
+from cactusvane.fleet_process import FleetLimits, FleetProcess, PlatformParts
 from cactusvane.following.follower import FollowSettings
 from cactusvane.http.client import fetch
 from cactusvane.http.message import Answer, Headers
@@ -127,7 +127,7 @@
             drain_ms=2_000,
         )
         store = Store(self.store_address)
-        platform = Platform(store, Decoder(), store, VOCABULARY)
+        platform = PlatformParts(store, Decoder(), store, VOCABULARY)
         limits = FleetLimits(60.0, 1, FOLLOW)
         process = FleetProcess(settings, limits, platform, lambda: replace(settings, peers=()))
         self.processes.append(process)
--- a/tests/claims/test_claiming.py
+++ b/tests/claims/test_claiming.py
@@ -23,7 +23,7 @@
 from cactusvane.claims.claims import Held, may_replace
 from cactusvane.claims.record import TABLE, KeyState, Outcome, Record, encode
 from cactusvane.configuration.model import KeyedPolicy
-from cactusvane.platform.interface import Write
+from cactusvane.store.interface import Write
 from cactusvane.verdict import Verdict
 from standins.store import Store
 
--- a/tests/configuration/test_publish.py
+++ b/tests/configuration/test_publish.py
@@ -14,7 +14,7 @@
     PlatformUnavailableError,
     PublishUnsettledError,
 )
-from cactusvane.platform.interface import Row, Write
+from cactusvane.store.interface import Row, Write
 from standins.store import Faults
 from tests.fakes import FakePlatform
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,7 +5,7 @@
 from cactusvane.clock import ManualClock
 from cactusvane.errors import NotFoundError, PlatformUnavailableError, WriteConflictError
 from cactusvane.fleet.vm import Vm
-from cactusvane.platform.interface import Row, Write
+from cactusvane.store.interface import Row, Write
 from standins.store import Counters, Faults, Store
 
 
--- a/tests/peers/test_node.py
+++ b/tests/peers/test_node.py
@@ -12,13 +12,14 @@
 from cactusvane.configuration.follow import Follower
 from cactusvane.configuration.model import Configuration, Head, Route, Service
 from cactusvane.configuration.tree import build
-from cactusvane.entry import Entry
 from cactusvane.fleet.vm import Address, Vm
+from cactusvane.keeper_entry import KeeperEntry
 from cactusvane.metrics import Recorder
+from cactusvane.outcome import Outcome
 from cactusvane.peers.cell import ToAll
 from cactusvane.peers.messages import ServiceEjection
 from cactusvane.peers.node import Node
-from cactusvane.pool.messages import Ejection, Outcome, ReportEvidence, TargetCounts
+from cactusvane.pool.messages import Ejection, ReportEvidence, TargetCounts
 from cactusvane.settings import Settings
 from tests.fakes import FakePlatform
 
@@ -47,7 +48,7 @@
             f"vm-{number}", DOMAINS[number % 3], unused, address, unused, unused, seed=number
         )
         clock = Clock()
-        self.entry = Entry(self.settings, clock, Random(number), Recorder())
+        self.entry = KeeperEntry(self.settings, clock, Random(number), Recorder())
         self.follower = Follower(self.settings, platform, clock)
         self.node = Node(self.settings, clock, self.entry, self.follower)
         self.follower.on_change.append(self.entry.configure)
@@ -96,7 +97,7 @@
 
     def settled(self) -> bool:
         return all(
-            vm.follower.configuration and vm.entry.services["records"].gate.slots.reachable
+            vm.follower.configuration and vm.entry.keepers.services["records"].gate.slots.reachable
             for vm in self.vms
         )
 
@@ -129,7 +130,7 @@
             out = Ejection(target, (), 5_000.0, 4_000.0, False, 1.0, "test")
             cell.judge = lambda event, now: ()  # type: ignore[method-assign]
             keeper.node.execute_all((ToAll(ServiceEjection("records", out)),))
-            pools = [vm.entry.services["records"].pool for vm in fleet.vms]
+            pools = [vm.entry.keepers.services["records"].pool for vm in fleet.vms]
             await wait_for(lambda: all(pool.out == {target} for pool in pools))
 
     asyncio.run(scenario())
@@ -140,7 +141,7 @@
         async with Fleet(3) as fleet:
             await fleet.configure()
             await wait_for(fleet.settled)
-            gates = [vm.entry.services["records"].gate for vm in fleet.vms]
+            gates = [vm.entry.keepers.services["records"].gate for vm in fleet.vms]
             deadline = fleet.vms[0].entry.clock.now() + 60_000.0
             for gate in gates:
                 gate.slots.shed_share = 1.0
--- a/tests/placement/fixtures.py
+++ b/tests/placement/fixtures.py
@@ -3,10 +3,10 @@
 from random import Random
 
 from cactusvane.fleet.vm import Address, Vm
+from cactusvane.outcome import Outcome
 from cactusvane.placement.messages import Demand, Observation
 from cactusvane.placement.placement import Placement
 from cactusvane.placement.settings import PlacementSettings
-from cactusvane.pool.messages import Outcome
 
 NEAR = "Gobabis"
 FAR = "Witvlei"
--- a/tests/placement/test_domain.py
+++ b/tests/placement/test_domain.py
@@ -8,9 +8,9 @@
 
 from cactusvane.configuration.model import Configuration, Service
 from cactusvane.fleet.vm import Address
+from cactusvane.outcome import Outcome
 from cactusvane.placement.domain import FORGET_MS, PEER_MS, Domain
 from cactusvane.placement.messages import Notice, Observation, Reading
-from cactusvane.pool.messages import Outcome
 from tests.placement.fixtures import NEAR, make_target
 
 PEER = Address("10.0.1.2", 7_000)
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -4,9 +4,9 @@
 from dataclasses import replace
 
 from cactusvane.fleet.vm import VmState
+from cactusvane.outcome import Outcome
 from cactusvane.placement.messages import Demand, Place, Reject, Wait
 from cactusvane.placement.placement import Placement
-from cactusvane.pool.messages import Outcome
 from tests.placement.fixtures import (
     FAR,
     failed,
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -10,8 +10,8 @@
 from cactusvane.clock import Clock
 from cactusvane.configuration.follow import Follower
 from cactusvane.fleet.vm import Address
-from cactusvane.platform.client import HttpPlatform
 from cactusvane.settings import Settings
+from cactusvane.store.client import HttpPlatform
 from tests.processes.harness import fleet
 from tests.processes.services import service
 
--- a/tests/request/test_attempts.py
+++ b/tests/request/test_attempts.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from cactusvane.configuration.model import Route
-from cactusvane.pool.messages import Outcome
+from cactusvane.outcome import Outcome
 from cactusvane.request.attempts import (
     Answered,
     AttemptResult,
--- a/tests/slots/test_gate.py
+++ b/tests/slots/test_gate.py
@@ -3,7 +3,7 @@
 
 from cactusvane.clock import Clock
 from cactusvane.fleet.vm import Address, Vm
-from cactusvane.pool.messages import Outcome
+from cactusvane.outcome import Outcome
 from cactusvane.slots.entry import EntrySlots
 from cactusvane.slots.gate import Gate
 from cactusvane.slots.messages import FleetSized, TargetsInUse
--- a/tests/slots/test_slots_machine.py
+++ b/tests/slots/test_slots_machine.py
@@ -7,7 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from cactusvane.fleet.vm import Address, Vm
-from cactusvane.pool.messages import Outcome
+from cactusvane.outcome import Outcome
 from cactusvane.slots.entry import EntrySlots
 from cactusvane.slots.keeper import SlotKeeper
 from cactusvane.slots.messages import (
--- a/tests/platform/test_client.py
+++ b/tests/store/test_client.py
@@ -6,8 +6,8 @@
 from cactusvane.clock import ManualClock
 from cactusvane.errors import NotFoundError, PlatformUnavailableError, WriteConflictError
 from cactusvane.fleet.vm import Address, Vm
-from cactusvane.platform.client import HttpPlatform
-from cactusvane.platform.interface import Row, Write
+from cactusvane.store.client import HttpPlatform
+from cactusvane.store.interface import Row, Write
 from standins.platform import PlatformServer
 from standins.store import Faults
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -11,12 +11,12 @@
 from cactusvane.claims.claims import Claims
 from cactusvane.clock import Clock, ManualClock
 from cactusvane.configuration.model import Configuration, Route, Service
-from cactusvane.entry import Entry
 from cactusvane.errors import BrokenAnswerError
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.http.client import fetch
 from cactusvane.http.message import Answer
 from cactusvane.http.server import Server
+from cactusvane.keeper_entry import KeeperEntry
 from cactusvane.metrics import Recorder
 from cactusvane.pool.messages import PoolCommand, PoolEvent, TargetsListed
 from cactusvane.pool.pool import Pool
@@ -73,9 +73,9 @@
         return tuple(vms)
 
 
-async def started(replies: list[bytes]) -> tuple[Entry, Server, Address, ScriptedTargets]:
+async def started(replies: list[bytes]) -> tuple[KeeperEntry, Server, Address, ScriptedTargets]:
     targets = ScriptedTargets(replies)
-    entry = Entry(SETTINGS, Clock(), Random(1), Recorder())
+    entry = KeeperEntry(SETTINGS, Clock(), Random(1), Recorder())
     entry.list_vms(await targets.start())
     entry.configure(Configuration((SERVICE,)))
     server = Server(LIMITS, entry.handle)
@@ -157,7 +157,7 @@
         early = targets.gone.is_set()
         await asyncio.wait_for(targets.gone.wait(), 5)
         await server.drain(1_000)
-        pool = entry.services["records"].pool
+        pool = entry.keepers.services["records"].pool
         return early, sum(target.in_flight for target in pool.targets.values())
 
     early, in_flight = asyncio.run(run())
@@ -207,7 +207,7 @@
         reader, writer = await asyncio.open_connection(address.host, address.port, limit=64)
         writer.write(b"GET /read HTTP/1.1\r\nhost: a\r\n\r\n")
         await reader.read(1)
-        pool = entry.services["records"].pool
+        pool = entry.keepers.services["records"].pool
         in_flight = sum(target.in_flight for target in pool.targets.values())
         writer.close()
         await server.drain(1_000)
@@ -285,7 +285,7 @@
 
 def test_only_the_services_that_changed_hear_of_a_list_or_a_file(monkeypatch):
     told: list[tuple[str, type]] = []
-    entry = Entry(SETTINGS, ManualClock(), Random(1), Recorder())
+    entry = KeeperEntry(SETTINGS, ManualClock(), Random(1), Recorder())
     records, booking = SERVICE, replace(SERVICE, name="booking", hosts=("b",))
     entry.configure(Configuration((records, booking)))
     handle = Pool.handle
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,10 +2,11 @@
 
 from cactusvane.clock import ManualClock
 from cactusvane.configuration.model import Configuration, Route, Service
-from cactusvane.entry import Entry
 from cactusvane.fleet.vm import Address
+from cactusvane.keeper_entry import KeeperEntry
 from cactusvane.metrics import Recorder
-from cactusvane.pool.messages import Ejected, Outcome
+from cactusvane.outcome import Outcome
+from cactusvane.pool.messages import Ejected
 from cactusvane.settings import Settings
 from cactusvane.verdict import Verdict
 
@@ -29,7 +30,7 @@
 
 def test_an_ejection_is_counted_for_its_service():
     settings = Settings("e1", "Gobabis", ANY, ANY, ANY, ANY)
-    entry = Entry(settings, ManualClock(), Random(1), Recorder())
+    entry = KeeperEntry(settings, ManualClock(), Random(1), Recorder())
     entry.configure(Configuration((SERVICE,)))
-    entry.execute(Ejected(ANY, "failing"), "records")
+    entry.keepers.execute(Ejected(ANY, "failing"), "records")
     assert 'cactusvane_ejections_total{service="records"} 1.0' in entry.recorder.text().decode()
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -4,6 +4,7 @@
 
 from cactusvane.configuration.model import Health, Leaving, Route, Service
 from cactusvane.fleet.vm import Address, Vm, VmState
+from cactusvane.outcome import Outcome
 from cactusvane.pool.messages import (
     AttemptEnded,
     AttemptStarted,
@@ -13,7 +14,6 @@
     EjectionHeard,
     LeavingNoticed,
     NoticeSource,
-    Outcome,
     Probe,
     ProbeEnded,
     ReportEvidence,
--- a/tests/test_pool_machine.py
+++ b/tests/test_pool_machine.py
@@ -11,6 +11,7 @@
 
 from cactusvane.configuration.model import Health, Leaving, Route, Service
 from cactusvane.fleet.vm import Address, Vm, VmState
+from cactusvane.outcome import Outcome
 from cactusvane.pool.keeper import Keeper
 from cactusvane.pool.messages import (
     AttemptEnded,
@@ -20,7 +21,6 @@
     EvidenceReported,
     LeavingNoticed,
     NoticeSource,
-    Outcome,
     ProbeEnded,
     ReportEvidence,
     Return,
--- a/tests/ui/test_report.py
+++ b/tests/ui/test_report.py
@@ -1,9 +1,9 @@
 import json
 
 from cactusvane.clock import Clock
-from cactusvane.platform.interface import ABSENT, Write
 from cactusvane.report.ledger import BUCKET_MS, Bucket, Count, bucket_start
 from cactusvane.report.store import TABLE, row_key
+from cactusvane.store.interface import ABSENT, Write
 from cactusvane.ui import run
 from cactusvane.ui.codes import ExitCode
 from standins.platform import PlatformServer
