--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -121,8 +121,12 @@
         rule = self.rules.find(host, request.path)
         if rule is None:
             return None
-        service = self.table.services.get(choose_service(rule, self.random))
-        return Match(service, rule.route) if service is not None else None
+        name = choose_service(rule, self.random)
+        service = self.table.services.get(name)
+        if service is None:
+            self.note_refused(request, 503, "no-service")
+            raise RequestError(503, "no-service", f"{name} is not known", Verdict.NOT_RUN)
+        return Match(service, rule.route)
 
     async def handle(self, request: Request, caller: Caller) -> Answer:
         """Answer one request.
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -51,6 +51,9 @@
 GATHER_MS = 15.0
 """How long ordinary news waits for more; a small part of what requests take at their targets."""
 
+DATAGRAMS_PER_S = 500.0
+"""Datagrams of one entry with ordinary news; about a hundredth of a core to send."""
+
 URGENT_MS = 2.0
 """The same for news of a failure or of a table's change."""
 
@@ -345,19 +348,24 @@
         if self.ended:
             return
         loop = asyncio.get_running_loop()
-        due = loop.time() + (URGENT_MS if urgent else GATHER_MS) / MS_PER_SECOND
+        due = loop.time() + (URGENT_MS if urgent else self.gather_ms()) / MS_PER_SECOND
         if self.announcing is not None:
             if self.announcing.when() <= due:
                 return
             self.announcing.cancel()
         self.announcing = loop.call_at(due, self.tell)
 
+    def gather_ms(self) -> float:
+        """Return how long ordinary news waits, so that datagrams stay within their rate."""
+        gap = len(self.domain.peers) * MS_PER_SECOND / DATAGRAMS_PER_S
+        return max(GATHER_MS, self.told_at + gap - self.clock.now())
+
     def tell(self) -> None:
         """Tell the other entries of the failure domain now."""
         self.announcing = None
         self.told_at = self.clock.now()
         notice = self.domain.next_notice(self.reading())
-        self.notices.send(notice, [peer.address for peer in self.domain.peers.values()])
+        self.notices.send(notice, self.domain.recipients())
 
     async def tick(self) -> None:
         """Let time pass."""
--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -5,8 +5,11 @@
 """
 
 from dataclasses import dataclass, replace
+from math import ceil
 from random import Random
 
+import xxhash
+
 from cactusvane.configuration.model import Configuration
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.placement.messages import Notice, Observation, Reading
@@ -20,6 +23,23 @@
 """An entry that was not heard for so long gets no more notices."""
 
 
+MOST_GROUP = 64
+"""Entries that share loads with each other; a larger failure domain falls into groups."""
+
+
+def group_of(vm: str, entries: int) -> int:
+    """Return the group of an entry in a failure domain of so many entries.
+
+    Examples
+    --------
+    >>> group_of("e1", 48), group_of("e2", 48)
+    (0, 0)
+    >>> len({group_of(f"e{number}", 1_425) for number in range(1_425)})
+    23
+    """
+    return xxhash.xxh64_intdigest(vm.encode()) % ceil(entries / MOST_GROUP)
+
+
 @dataclass(slots=True)
 class Peer:
     """Another entry of the failure domain.
@@ -167,6 +187,12 @@
             if peer.notice is not None and now - peer.heard <= PEER_MS
         }
 
+    def recipients(self) -> list[Address]:
+        """Return where notices go: to the entries of the same group."""
+        entries = len(self.peers) + 1
+        own = group_of(self.vm, entries)
+        return [peer.address for vm, peer in self.peers.items() if group_of(vm, entries) == own]
+
     def observe(self, seen: Observation) -> None:
         """Keep an observation for the next notice."""
         self.unsent.append(seen)
--- a/cactusvane/placement/evidence.py
+++ b/cactusvane/placement/evidence.py
@@ -1,46 +1,61 @@
-"""What recent requests say of one target; older ones count less and less."""
+"""What recent requests say of one target.
 
-from math import inf
+A target is taken to be in one of two states, good or bad, and to change by itself from time to time
+(a hidden Markov model). Each outcome shifts the probability of the bad state by Bayes' rule; without
+outcomes it drifts to what is usual. So two failures in a row weigh heavily, however many answers
+came before them, and a target that is left alone is forgiven within seconds.
+"""
 
+from math import exp, inf
+
+from cactusvane.clock import MS_PER_SECOND
 from cactusvane.placement.settings import PlacementSettings
 
 
 class Evidence:
-    """Decaying counts of good and bad outcomes, and of how slow the good ones were.
+    """Probability that a target is bad, and how slow its answers are.
 
     Parameters
     ----------
     settings
-        Half-life and prior.
+        Failures in both states, how long each lasts, and the half-life of slowness.
 
     Examples
     --------
     >>> evidence = Evidence(PlacementSettings())
-    >>> evidence.add_bad(1.0, now=0.0)
-    >>> round(evidence.failure_share(0.0), 2), round(evidence.failure_share(10_000.0), 2)
-    (0.51, 0.08)
+    >>> for number in range(20):
+    ...     evidence.add_good(1.0, now=250.0 * number)
+    >>> round(evidence.failure_share(5_000.0), 2)
+    0.02
+    >>> evidence.add_bad(1.0, now=5_000.0)
+    >>> evidence.add_bad(1.0, now=5_250.0)
+    >>> evidence.failure_share(5_250.0) > 0.4
+    True
+    >>> evidence.failure_share(20_000.0) < 0.1
+    True
     """
 
-    __slots__ = ("at", "bad", "good", "settings", "slow_sum", "slow_weight", "told_at")
+    __slots__ = ("at", "bad", "settings", "slow_sum", "slow_weight", "told_at")
 
     def __init__(self, settings: PlacementSettings) -> None:
         self.settings = settings
         self.at = 0.0
-        self.bad = 0.0
-        self.good = 0.0
+        self.bad = settings.usually_bad
         self.slow_sum = 0.0
         self.slow_weight = 0.0
         self.told_at = -inf
 
-    def decay(self, now: float) -> None:
-        """Let the counts lose weight up to `now`."""
+    def pass_time(self, now: float) -> None:
+        """Let the probability drift and slowness lose weight up to `now`."""
         passed = now - self.at
         if passed <= 0.0:
             return
-        factor = 0.5 ** (passed / self.settings.half_life_ms)
+        settings = self.settings
         self.at = now
-        self.bad *= factor
-        self.good *= factor
+        usual = settings.usually_bad
+        rate = settings.onsets_per_s + settings.recoveries_per_s
+        self.bad = usual + (self.bad - usual) * exp(-rate * passed / MS_PER_SECOND)
+        factor = 0.5 ** (passed / settings.half_life_ms)
         self.slow_sum *= factor
         self.slow_weight *= factor
 
@@ -54,28 +69,34 @@
         now
             Milliseconds of the process's clock.
         """
-        self.decay(now)
+        self.pass_time(now)
+        settings = self.settings
+        self.shift((1.0 - settings.bad_failures) / (1.0 - settings.good_failures))
         self.told_at = now
-        self.good += 1.0
         self.slow_sum += slowness
         self.slow_weight += 1.0
 
     def add_bad(self, weight: float, now: float) -> None:
-        """Note a failure."""
-        self.decay(now)
+        """Note a failure, or with a `weight` below 1 what only looks like one."""
+        self.pass_time(now)
+        settings = self.settings
+        self.shift((settings.bad_failures / settings.good_failures) ** weight)
         self.told_at = now
-        self.bad += weight
+
+    def shift(self, ratio: float) -> None:
+        """Go by an outcome that is `ratio` times as likely in the bad state."""
+        bad = self.bad * ratio
+        self.bad = bad / (bad + 1.0 - self.bad)
 
     def failure_share(self, now: float) -> float:
         """Return the expected share of requests that fail."""
-        self.decay(now)
-        weight = self.settings.prior_weight
-        prior = self.settings.prior_failures * weight
-        return (self.bad + prior) / (self.bad + self.good + weight)
+        self.pass_time(now)
+        settings = self.settings
+        return self.bad * settings.bad_failures + (1.0 - self.bad) * settings.good_failures
 
     def slowness(self, now: float) -> float:
         """Return the time of an answer as a multiple of the usual one."""
-        self.decay(now)
+        self.pass_time(now)
         weight = self.settings.prior_weight
         return (self.slow_sum + weight) / (self.slow_weight + weight)
 
--- a/cactusvane/placement/settings.py
+++ b/cactusvane/placement/settings.py
@@ -9,13 +9,14 @@
 
     Parameters
     ----------
+    good_failures, bad_failures
+        Shares of failed requests of a target that is good and of one that is bad.
+    onsets_per_s, recoveries_per_s
+        How often a good target turns bad and a bad one good; gray failures last some seconds.
     half_life_ms
-        Time in which evidence for or against a target loses half of its weight; gray failures
-        last some seconds.
-    prior_failures
-        Share of failed requests of a target of which nothing is known.
+        Time in which the slowness of answers loses half of its weight.
     prior_weight
-        Outcomes that this share counts for.
+        Answers of the usual time that a target is credited with at first.
     failure_cost
         Cost of a failed non-idempotent request, as a multiple of the time it has left.
     retry_cost
@@ -44,8 +45,11 @@
         Bounds of the time after which refused callers may come back.
     """
 
+    good_failures: float = 0.02
+    bad_failures: float = 0.6
+    onsets_per_s: float = 0.01
+    recoveries_per_s: float = 0.25
     half_life_ms: float = 2_500.0
-    prior_failures: float = 0.02
     prior_weight: float = 1.0
     failure_cost: float = 1.0
     retry_cost: float = 0.9
@@ -62,3 +66,8 @@
     work_share: float = 0.4
     least_retry_after_ms: float = 100.0
     most_retry_after_ms: float = 1_000.0
+
+    @property
+    def usually_bad(self) -> float:
+        """Share of time that a target is bad."""
+        return self.onsets_per_s / (self.onsets_per_s + self.recoveries_per_s)
