Keep claims out of the entry: a handler of keyed requests is given to it

Change: keyed.py holds the whole way of a request with a key. Behaviour as before; tests of entry, claims and adapter passed.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/installed
 export PYTHONPATH := .
 
-.PHONY: install check test demo bench-added bench-decisions bench-capacity soak lock generate bench-slots bench-membership
+.PHONY: install check test demo bench-load bench-added bench-decisions bench-capacity soak lock generate bench-slots bench-membership
 
 install:
 	@cmp -s requirements.lock $(STAMP) || $(MAKE) --no-print-directory $(STAMP)
@@ -28,6 +28,9 @@
 bench-added: install
 	$(PYTHON) -m bench.added
 
+bench-load: install
+	$(PYTHON) -m bench.load
+
 bench-decisions: install
 	$(PYTHON) -m bench.decisions
 
--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -3,10 +3,9 @@
 import asyncio
 from dataclasses import dataclass
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from cactusvane import events
-from cactusvane.claims.claims import Claims, Held
 from cactusvane.clock import MS_PER_SECOND
 from cactusvane.configuration.routes import Match
 from cactusvane.errors import BrokenAnswerError, ConnectError, RequestError
@@ -17,7 +16,6 @@
 from cactusvane.http.message import Answer, Request, end_to_end
 from cactusvane.http.server import VERDICT_HEADER, Caller
 from cactusvane.http.stream import RelayedStream
-from cactusvane.keyed import Keyed, run_keyed
 from cactusvane.metrics import KindRecord
 from cactusvane.outcome import Outcome
 from cactusvane.placement.messages import Demand, Inputs
@@ -82,6 +80,13 @@
     inputs: Inputs | None
 
 
+class Lease(Protocol):
+    """Leave to send a request, for a time."""
+
+    def may_send(self, now: float) -> bool:
+        """Say whether the request may be sent now, in milliseconds of the process's clock."""
+
+
 class Dispatch:
     """One request and its attempts at targets.
 
@@ -126,7 +131,7 @@
             self.attempts.deadline,
             match.route.latency_ms,
         )
-        self.held: Held | None = None
+        self.held: Lease | None = None
         self.tried: frozenset[Address] = frozenset()
         self.request_id = (request.header(self.vocabulary.request_id) or b"").decode("latin-1")
         self.last_attempt: AttemptNote | None = None
@@ -152,23 +157,6 @@
                 self.count(status, verdict, code)
                 raise RequestError(status, code, text, verdict, retry_after_ms)
 
-    async def run_keyed(self, claims: Claims, keyed: Keyed) -> Answer:
-        """Send the request under a claim of its key."""
-
-        async def run(held: Held) -> Answer:
-            self.held = held
-            return await self.run()
-
-        try:
-            answer = await run_keyed(claims, keyed, run)
-        except RequestError as error:
-            if self.held is None:
-                self.count(error.status, error.verdict, error.code)
-            raise
-        if self.held is None:
-            self.count(answer.status, Verdict.RAN, "replayed")
-        return answer
-
     def count(self, status: int, verdict: Verdict, code: str) -> None:
         """Record what the caller is told, after the answer is on its way."""
         total = self.clock.now() - self.started
--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -2,9 +2,9 @@
 
 import asyncio
 from random import Random
+from typing import Protocol
 
 from cactusvane import events
-from cactusvane.claims.claims import Claims
 from cactusvane.clock import Clock
 from cactusvane.configuration.model import Configuration
 from cactusvane.configuration.routes import Match, RoutingTable
@@ -18,7 +18,6 @@
 from cactusvane.http.message import Answer, Request
 from cactusvane.http.server import Caller
 from cactusvane.http.vocabulary import Vocabulary
-from cactusvane.keyed import Keyed, find_key
 from cactusvane.metrics import Recorder
 from cactusvane.report.ledger import Ledger
 from cactusvane.request.admission import Placer
@@ -30,6 +29,13 @@
 """When callers may come back to a fleet whose VMs know no configuration yet."""
 
 
+class KeyedHandler(Protocol):
+    """Answers non-idempotent requests that may carry an idempotency key."""
+
+    async def run(self, dispatch: Dispatch, request: Request) -> Answer:
+        """Answer one request."""
+
+
 class Entry:
     """Answers callers' requests by sending them to targets.
 
@@ -68,7 +74,7 @@
         self.placer = placer
         self.vocabulary = vocabulary
         self.connections = connections
-        self.claims: Claims | None = None
+        self.keyed: KeyedHandler | None = None
         self.ledger = Ledger(settings.vm)
         self.configured = False
         self.version = 0
@@ -163,9 +169,6 @@
             task = asyncio.current_task()
             caller.on_gone = task.cancel if task else None
         dispatch = Dispatch(self, match, request, caller)
-        key = None if match.route.idempotent else find_key(request)
-        if key is None or self.claims is None:
+        if match.route.idempotent or self.keyed is None:
             return await dispatch.run()
-        return await dispatch.run_keyed(
-            self.claims, Keyed(match.service, request, key, dispatch.time_ms)
-        )
+        return await self.keyed.run(dispatch, request)
--- a/cactusvane/keyed.py
+++ b/cactusvane/keyed.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 
 from cactusvane.claims.claims import Claims, Held, Recorded
 from cactusvane.claims.record import Outcome, to_outcome
 from cactusvane.configuration.model import Service
+from cactusvane.dispatch import Dispatch
 from cactusvane.errors import RequestError
 from cactusvane.http.check import bad_request
 from cactusvane.http.message import Answer, Request
@@ -57,6 +59,47 @@
     return keys[0]
 
 
+class KeyedRequests:
+    """Answers non-idempotent requests; those with a key under a claim of it.
+
+    Parameters
+    ----------
+    claims
+        Of this entry.
+    """
+
+    def __init__(self, claims: Claims) -> None:
+        self.claims = claims
+
+    async def run(self, dispatch: Dispatch, request: Request) -> Answer:
+        """Answer one request.
+
+        Raises
+        ------
+        RequestError
+            It was refused, or brought no whole answer.
+        """
+        key = find_key(request)
+        if key is None:
+            return await dispatch.run()
+        keyed = Keyed(dispatch.service, request, key, dispatch.time_ms)
+        try:
+            answer = await run_keyed(self.claims, keyed, partial(send_held, dispatch))
+        except RequestError as error:
+            if dispatch.held is None:
+                dispatch.count(error.status, error.verdict, error.code)
+            raise
+        if dispatch.held is None:
+            dispatch.count(answer.status, Verdict.RAN, "replayed")
+        return answer
+
+
+async def send_held(dispatch: Dispatch, held: Held) -> Answer:
+    """Send a request while the lease of its claim stands."""
+    dispatch.held = held
+    return await dispatch.run()
+
+
 async def run_keyed(
     claims: Claims, keyed: Keyed, run: Callable[[Held], Awaitable[Answer]]
 ) -> Answer:
--- a/cactusvane/placement/evidence.py
+++ b/cactusvane/placement/evidence.py
@@ -1,9 +1,9 @@
 """What recent requests say of one target.
 
-A target is taken to be in one of two states, good or bad, and to change by itself from time to time
-(a hidden Markov model). Each outcome shifts the probability of the bad state by Bayes' rule; without
-outcomes it drifts to what is usual. So two failures in a row weigh heavily, however many answers
-came before them, and a target that is left alone is forgiven within seconds.
+A target is taken to be in one of two states, good or bad, and to change by itself from time to
+time (a hidden Markov model). Each outcome shifts the probability of the bad state by Bayes' rule;
+without outcomes it drifts to what is usual. So two failures in a row weigh heavily, however many
+answers came before them, and a target that is left alone is forgiven within seconds.
 """
 
 from math import exp, inf
