Break an attempt off early only where a retry and a target for it are at hand

Its attempt was ended to leave time for a second one, and the budget had no retry left. Ruled out: the stop itself, which waits for what is in flight; the route's timeout, which was seconds away. Change: the early end takes its retry first and only where another target could take the request now; else the attempt goes on to the request's own time. Test: a slow target and an empty budget, failed before.

--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -1,6 +1,8 @@
 """The dispatch of one request: slot, exchange, answer, and again where that is harmless."""
 
 import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING, Protocol
@@ -301,15 +303,17 @@
         connection: ClientConnection | None = None
         started = self.clock.now()
         try:
-            async with asyncio.timeout(command.timeout_ms / MS_PER_SECOND):
-                verified = not self.route.idempotent
-                connection = await self.entry.connections.take(address, verified)
-                if self.held and not self.held.may_send(self.clock.now()):
-                    connection.close()
-                    return Lost(Outcome.CANCELLED, Verdict.NOT_RUN, "the claim's lease is over")
-                remaining = command.remaining_ms - (self.clock.now() - started)
-                answer = await connection.exchange(self.outgoing(remaining))
-                self.check(answer)
+            async with asyncio.timeout(command.remaining_ms / MS_PER_SECOND) as limit:
+                with self.breaking_off(command, limit):
+                    verified = not self.route.idempotent
+                    connection = await self.entry.connections.take(address, verified)
+                    if self.held and not self.held.may_send(self.clock.now()):
+                        connection.close()
+                        text = "the claim's lease is over"
+                        return Lost(Outcome.CANCELLED, Verdict.NOT_RUN, text)
+                    remaining = command.remaining_ms - (self.clock.now() - started)
+                    answer = await connection.exchange(self.outgoing(remaining))
+            self.check(answer)
         except ConnectError as error:
             return Lost(Outcome.UNREACHABLE, error.verdict, str(error))
         except BrokenAnswerError as error:
@@ -323,6 +327,23 @@
             return Lost(Outcome.TIMED_OUT, Verdict.MAY_HAVE_RUN, text)
         return await self.receive(address, answer, started)
 
+    @contextmanager
+    def breaking_off(self, command: Try, limit: asyncio.Timeout) -> Iterator[None]:
+        """Look after the attempt's own time whether it is to be broken off."""
+        delay = command.timeout_ms / MS_PER_SECOND
+        timer = asyncio.get_running_loop().call_later(delay, self.break_off, limit)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+    def break_off(self, limit: asyncio.Timeout) -> None:
+        """End an attempt before its time if another one may follow at another target."""
+        if limit.expired() or not self.admission.has_room(self.demand, self.tried):
+            return
+        if self.attempts.reserve_retry(self.clock.now()):
+            limit.reschedule(asyncio.get_running_loop().time())
+
     def outgoing(self, remaining_ms: float) -> Request:
         """Return the request as targets get it, with what is left of its deadline."""
         left = b"%d" % max(1, int(remaining_ms))
--- a/cactusvane/placement/admission.py
+++ b/cactusvane/placement/admission.py
@@ -51,6 +51,10 @@
         """Return what answers of a kind usually take."""
         return self.placement.work.expected(kind, latency_ms)
 
+    def has_room(self, demand: Demand, tried: frozenset[Address]) -> bool:
+        """Say whether a target that was not tried could take the request now."""
+        return isinstance(self.placement.place(demand, tried, self.clock.now()), Place)
+
     def open(self, demand: Demand, tried: frozenset[Address]) -> Ticket:
         """Take in a request that was sent to the targets `tried` already."""
         return SharedTicket(demand, tried)
--- a/cactusvane/request/admission.py
+++ b/cactusvane/request/admission.py
@@ -62,6 +62,9 @@
     def usual_ms(self, kind: str, latency_ms: float) -> float | None:
         """Return what answers of a kind usually take, None where that is not known."""
 
+    def has_room(self, demand: Demand, tried: frozenset[Address]) -> bool:
+        """Say whether a target that was not tried could take the request now."""
+
     def open(self, demand: Demand, tried: frozenset[Address]) -> Ticket:
         """Take in a request that was sent to the targets `tried` already."""
 
--- a/cactusvane/request/attempts.py
+++ b/cactusvane/request/attempts.py
@@ -109,6 +109,7 @@
         self.made = 0
         self.sheds = 0
         self.failed_connects = 0
+        self.reserved = False
         self.holds_answer = False
         self.last = Lost(Outcome.UNREACHABLE, Verdict.NOT_RUN)
         self.verdict = Verdict.NOT_RUN
@@ -179,9 +180,17 @@
         self.made -= 1
         return True
 
+    def reserve_retry(self, now: float) -> bool:
+        """Take a retry for after the present attempt and say whether there was one."""
+        self.reserved = self.reserved or self.may_retry(now)
+        return self.reserved
+
     def may_retry(self, now: float) -> bool:
         """Say whether attempts, time and budget allow another attempt, and take it."""
-        return self.made < self.route.attempts and now < self.deadline and self.budget.withdraw()
+        if self.made >= self.route.attempts or now >= self.deadline:
+            return False
+        reserved, self.reserved = self.reserved, False
+        return reserved or self.budget.withdraw()
 
     def send(self, now: float) -> AttemptCommand:
         """Return the command for one attempt; an idempotent one leaves time for another.
--- a/cactusvane/slots/admission.py
+++ b/cactusvane/slots/admission.py
@@ -39,6 +39,10 @@
         """Return None: pools know no times by kind."""
         return None
 
+    def has_room(self, demand: Demand, tried: frozenset[Address]) -> bool:
+        """Return True: where there is no slot, the request waits for one."""
+        return True
+
     def open(self, demand: Demand, tried: frozenset[Address]) -> Ticket:
         """Take in a request that was sent to the targets `tried` already."""
         at_gate = self.gate.open(demand.deadline, tried, demand.idempotent)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -21,6 +21,7 @@
 from cactusvane.metrics import Recorder
 from cactusvane.pool.messages import PoolCommand, PoolEvent, TargetsListed
 from cactusvane.pool.pool import Pool
+from cactusvane.request.budget import RetryBudget
 from cactusvane.settings import HttpLimits, Settings
 from cactusvane.verdict import Verdict
 from tests.fakes import FakePlatform
@@ -40,6 +41,7 @@
 CUT = b"HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\nhi"
 LARGE_CUT = b"HTTP/1.1 200 OK\r\ncontent-length: 9000\r\n\r\n" + b"x" * 5_000
 HANG = b"hang"
+SLOW = b"slow"
 
 
 class ScriptedTargets:
@@ -60,6 +62,9 @@
         if reply == HANG:
             await reader.read()
             self.gone.set()
+        elif reply == SLOW:
+            await asyncio.sleep(0.25)
+            writer.write(OK)
         else:
             writer.write(reply)
         return writer.close()
@@ -139,6 +144,22 @@
     assert len(received) == attempts
 
 
+@pytest.mark.parametrize(("retries", "attempts"), [(0.0, 1), (1.0, 2)])
+def test_an_attempt_is_broken_off_only_where_another_may_follow(
+    retries: float, attempts: int
+) -> None:
+    """A stop found a request at work, broken off at half of its time, and no retry was left."""
+
+    async def run() -> tuple[int, int]:
+        entry, server, address, targets = await started([SLOW])
+        entry.budgets["records"] = RetryBudget(share=0.0, burst=retries)
+        answer = await fetch(address, "GET", "/read", [(b"host", b"a")], b"", 5_000, LIMITS)
+        await server.drain(1_000)
+        return answer.status, len(targets.received)
+
+    assert asyncio.run(run()) == (200, attempts)
+
+
 def test_large_answer_that_breaks_off_breaks_the_callers() -> None:
     with pytest.raises(BrokenAnswerError):
         asked("GET", "/read", LARGE_CUT)
