Use every target now and then while its service does badly

Ruled out: ejections, of which there are none; loads. Change: while more than 8 in 100 requests of a service failed lately, a target near by that nobody used for 1.5 s goes first.

--- a/bench/load.py
+++ b/bench/load.py
@@ -98,7 +98,7 @@
 
     def started(self, name: str) -> None:
         """Note an attempt."""
-        self.placement.started(name)
+        self.placement.started(name, self.fleet.world.now)
         self.announce()
 
     def ended(self, seen: Observation) -> None:
--- a/cactusvane/placement/admission.py
+++ b/cactusvane/placement/admission.py
@@ -78,7 +78,7 @@
         """Note that a request goes to its target."""
         ticket.place = place
         demand = ticket.demand
-        self.placement.started(place.name)
+        self.placement.started(place.name, self.clock.now())
         overdue_ms = self.placement.overdue_ms(demand.kind, demand.latency_ms)
         loop = asyncio.get_running_loop()
         ticket.overdue = loop.call_later(
--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -132,6 +132,13 @@
             if placement is not None:
                 placement.targets[name].others += sign * count
 
+    def note_use(self, notice: Notice, now: float) -> None:
+        """Note which targets another entry uses."""
+        for name in notice.in_flight:
+            placement = self.by_target.get(name)
+            if placement is not None:
+                placement.targets[name].used_at = now
+
     def meet(self, vm: str, address: Address, now: float) -> bool:
         """Take in an entry of the failure domain and say whether it is new here."""
         if vm == self.vm:
@@ -162,6 +169,7 @@
         peer.notice = notice
         peer.heard = now
         self.add_load(notice, 1)
+        self.note_use(notice, now)
         for seen in notice.seen:
             placement = self.by_target.get(seen.target)
             if placement is not None:
--- a/cactusvane/placement/evidence.py
+++ b/cactusvane/placement/evidence.py
@@ -103,3 +103,38 @@
     def age(self, now: float) -> float | None:
         """Return the age of the latest outcome in milliseconds, None without any."""
         return None if self.told_at == -inf else now - self.told_at
+
+
+RECENT_MS = 1_000.0
+"""Half-life of the outcomes that say how a service does now."""
+
+
+class RecentOutcomes:
+    """How the requests of a service ended lately.
+
+    Examples
+    --------
+    >>> outcomes = RecentOutcomes()
+    >>> for good in (True, True, True, False):
+    ...     outcomes.add(good, 0.0)
+    >>> outcomes.failure_share(0.0)
+    0.25
+    """
+
+    __slots__ = ("all", "at", "bad")
+
+    def __init__(self) -> None:
+        self.at = 0.0
+        self.all = 0.0
+        self.bad = 0.0
+
+    def add(self, good: bool, now: float) -> None:
+        """Take in one outcome."""
+        factor = 0.5 ** (max(0.0, now - self.at) / RECENT_MS)
+        self.at = max(self.at, now)
+        self.all = self.all * factor + 1.0
+        self.bad = self.bad * factor + (not good)
+
+    def failure_share(self, now: float) -> float:
+        """Return the share of failures, 0 without any outcome."""
+        return self.bad / self.all if self.all else 0.0
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -14,6 +14,7 @@
 
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.outcome import Outcome
+from cactusvane.placement.evidence import RecentOutcomes
 from cactusvane.placement.messages import (
     Decision,
     Demand,
@@ -55,6 +56,7 @@
         self.by_address: dict[Address, Target] = {}
         self.work = WorkTimes(settings)
         self.objectives: dict[str, Demand] = {}
+        self.outcomes = RecentOutcomes()
 
     def list_targets(self, vms: Iterable[Vm], now: float) -> None:
         """Go by a new list; what is known of targets that stay is kept."""
@@ -90,7 +92,8 @@
         if not usable:
             return self.wait_or_reject(demand, "no-target", demand.latency_ms, now)
         work = self.work.expected(demand.kind, demand.latency_ms)
-        best = min(usable, key=lambda target: self.cost(target, demand, work, now))
+        candidates = self.left_out(usable, now) or usable
+        best = min(candidates, key=lambda target: self.cost(target, demand, work, now))
         inputs = self.inputs(best, work, now)
         if now + inputs.wait_ms + work * inputs.slowness > demand.deadline:
             return Reject("too-late", self.retry_after(inputs.wait_ms))
@@ -98,6 +101,21 @@
             return self.wait_or_reject(demand, "no-room", inputs.wait_ms, now)
         return Place(best.vm.name, best.vm.address, inputs)
 
+    def left_out(self, usable: list[Target], now: float) -> list[Target]:
+        """Return the targets near by that nobody used for long while the service does badly.
+
+        Where many requests fail, what speaks against a target may be old, or wrong, and those in
+        use are no better.
+        """
+        if self.outcomes.failure_share(now) < self.settings.badly_share:
+            return []
+        before = now - self.settings.unused_ms
+        return [
+            target
+            for target in usable
+            if target.used_at < before and target.vm.failure_domain == self.failure_domain
+        ]
+
     def wait_or_reject(
         self, demand: Demand, reason: str, wait_ms: float, now: float
     ) -> Wait | Reject:
@@ -105,6 +123,7 @@
         until = demand.arrived + self.settings.wait_share * demand.latency_ms
         if now < until:
             return Wait(until)
+        self.outcomes.add(False, now)
         return Reject(reason, self.retry_after(wait_ms))
 
     def retry_after(self, wait_ms: float) -> float:
@@ -149,10 +168,11 @@
         age = target.evidence.age(now)
         return Inputs(target.load, target.slots, failure_share, slowness, wait, age)
 
-    def started(self, name: str) -> None:
+    def started(self, name: str, now: float) -> None:
         """Note that a request was sent to a target."""
         if name in self.targets:
             self.targets[name].own += 1
+            self.targets[name].used_at = now
 
     def ended(self, seen: Observation, now: float) -> None:
         """Learn from the end of one of this entry's attempts."""
@@ -174,6 +194,9 @@
         target = self.targets.get(seen.target)
         if target is None:
             return
+        if seen.outcome is not None:
+            target.used_at = max(target.used_at, now - seen.latency_ms)
+            self.outcomes.add(seen.outcome is Outcome.SERVED, now)
         if seen.outcome is None:
             target.evidence.add_bad(self.settings.overdue_weight, now)
         elif seen.outcome in BAD:
--- a/cactusvane/placement/settings.py
+++ b/cactusvane/placement/settings.py
@@ -13,6 +13,10 @@
         Shares of failed requests of a target that is good and of one that is bad.
     onsets_per_s, recoveries_per_s
         How often a good target turns bad and a bad one good; gray failures last some seconds.
+    unused_ms
+        A target that may take work gets some at least so often while its service does badly.
+    badly_share
+        Share of failed requests from which a service does badly.
     half_life_ms
         Time in which the slowness of answers loses half of its weight.
     prior_weight
@@ -49,6 +53,8 @@
     bad_failures: float = 0.6
     onsets_per_s: float = 0.01
     recoveries_per_s: float = 0.25
+    unused_ms: float = 1_500.0
+    badly_share: float = 0.08
     half_life_ms: float = 2_500.0
     prior_weight: float = 1.0
     failure_cost: float = 1.0
--- a/cactusvane/placement/target.py
+++ b/cactusvane/placement/target.py
@@ -28,6 +28,8 @@
         Requests in flight of the other entries of the failure domain.
     refused_until
         Until when it is left alone since this entry could not reach it.
+    used_at
+        When any entry of the failure domain sent it a request last, as far as this one knows.
     misplaced
         Whether another target has its address by now.
     """
@@ -41,6 +43,7 @@
         "own",
         "refused_until",
         "settings",
+        "used_at",
         "vm",
     )
 
@@ -53,6 +56,7 @@
         self.failures_in_a_row = 0
         self.misplaced = False
         self.cold_until = 0.0
+        self.used_at = now
         self.vm = vm
         self.list(vm, now)
 
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -27,7 +27,7 @@
     names: Counter[str] = Counter()
     for _ in range(count):
         name = place(placement, demand, now)
-        placement.started(name)
+        placement.started(name, now)
         names[name] += 1
     return names
 
@@ -52,7 +52,7 @@
 
 def test_a_target_that_fails_gets_no_non_idempotent_work_for_a_while() -> None:
     placement = make_placement(make_target(0), make_target(1))
-    placement.started("t0")
+    placement.started("t0", 0.0)
     placement.ended(failed("t0"), 0.0)
     demand = make_demand(idempotent=False)
     assert chosen(placement, demand, 6) == {"t1": 6}
@@ -174,7 +174,7 @@
 
 def test_what_is_known_of_a_target_outlives_a_new_list() -> None:
     placement = make_placement(make_target(0), make_target(1))
-    placement.started("t0")
+    placement.started("t0", 0.0)
     placement.learn(failed("t0"), 0.0)
     placement.list_targets((make_target(0), make_target(2)), 0.0)
     assert placement.targets["t0"].own == 1
@@ -182,6 +182,38 @@
     assert set(placement.targets) == {"t0", "t2"}
 
 
+def play_seconds(placement: Placement, fails: frozenset[str], seconds: float) -> Counter[str]:
+    """Send twenty requests a second; targets in `fails` fail, all others answer."""
+    names: Counter[str] = Counter()
+    for step in range(int(seconds * 20)):
+        now = step * 50.0
+        name = place(placement, make_demand(idempotent=False, now=now), now)
+        placement.started(name, now)
+        seen = failed(name) if name in fails else served(name, 40.0)
+        placement.ended(seen, now)
+        if now >= (seconds - 2.0) * 1_000.0:
+            names[name] += 1
+    return names
+
+
+def test_while_the_service_does_badly_no_target_is_left_out_for_long() -> None:
+    """Half of the targets failed for good, and three sound ones got nothing for two seconds."""
+    placement = make_placement(*(make_target(number) for number in range(6)))
+    for name in ("t0", "t1", "t2"):
+        for _ in range(6):
+            placement.learn(failed(name), 0.0)
+    bad = frozenset({"t3", "t4", "t5", "t0"})
+    names = play_seconds(placement, bad, 4.0)
+    assert set(names) == {f"t{number}" for number in range(6)}
+
+
+def test_while_the_service_does_well_a_failing_target_is_left_alone() -> None:
+    placement = make_placement(*(make_target(number) for number in range(6)))
+    for _ in range(6):
+        placement.learn(failed("t0"), 0.0)
+    assert play_seconds(placement, frozenset({"t0"}), 4.0)["t0"] <= 1
+
+
 def test_two_failures_in_a_row_weigh_more_than_many_answers_before_them() -> None:
     """A target that turns gray at four requests a second must not lose ten of them first."""
     placement = make_placement(make_target(0), make_target(1))
