Turn requests away while the queue is still short enough to answer the others in time

Cause: in overload requests were queued until the usual answer would just meet the deadline: at 1.2 times the load as many were served as with a short queue, and two in three of them late. Also, a route whose time is shorter than the guess of its work (400 ms and 480 ms) was refused for ever, and what usually takes longer than its time was never tried. Change: into a queue a request goes only while its usual answer comes within the objective and a quarter of the time beyond; without a queue it is tried unless half of the usual time is too much; a guess is bounded by the time left.

--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -91,16 +91,32 @@
         ]
         if not usable:
             return self.wait_or_reject(demand, "no-target", demand.latency_ms, now)
-        work = self.work.expected(demand.kind, demand.latency_ms)
+        objective = min(demand.latency_ms, demand.deadline - now)
+        work = self.work.expected(demand.kind, objective)
         candidates = self.left_out(usable, now) or usable
         best = min(candidates, key=lambda target: self.cost(target, demand, work, now))
         inputs = self.inputs(best, work, now)
-        if now + inputs.wait_ms + work * inputs.slowness > demand.deadline:
+        if self.is_hopeless(demand, inputs, work, now):
+            self.outcomes.add(False, now)
             return Reject("too-late", self.retry_after(inputs.wait_ms))
         if inputs.wait_ms > self.most_wait(demand):
             return self.wait_or_reject(demand, "no-room", inputs.wait_ms, now)
         return Place(best.vm.name, best.vm.address, inputs)
 
+    def is_hopeless(self, demand: Demand, inputs: Inputs, work: float, now: float) -> bool:
+        """Say whether a request has too little time left for the target that suits it best.
+
+        Without a queue it is tried while an answer may come sooner than usual. Into a queue it
+        goes only while the usual answer would be of use: in overload a longer queue serves no
+        more requests, and all of them later.
+        """
+        usual = work * inputs.slowness
+        if inputs.wait_ms == 0.0:
+            return now + self.settings.soonest_share * usual > demand.deadline
+        objective = demand.arrived + demand.latency_ms
+        latest = objective + self.settings.late_share * (demand.deadline - objective)
+        return now + inputs.wait_ms + usual > min(latest, demand.deadline)
+
     def left_out(self, usable: list[Target], now: float) -> list[Target]:
         """Return the targets near by that nobody used for long while the service does badly.
 
--- a/cactusvane/placement/settings.py
+++ b/cactusvane/placement/settings.py
@@ -45,6 +45,11 @@
         Factor on this time with each failure in a row.
     work_share
         Usual time of a kind of request before any has ended, as a share of its objective.
+    soonest_share
+        Share of the usual time that an answer takes at least, as far as giving up goes.
+    late_share
+        How far beyond its objective the usual answer of a queued request may come, as a share of
+        the time from there to its deadline.
     least_retry_after_ms, most_retry_after_ms
         Bounds of the time after which refused callers may come back.
     """
@@ -70,6 +75,8 @@
     unreachable_most_ms: float = 8_000.0
     unreachable_growth: float = 2.0
     work_share: float = 0.4
+    soonest_share: float = 0.5
+    late_share: float = 0.25
     least_retry_after_ms: float = 100.0
     most_retry_after_ms: float = 1_000.0
 
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -142,6 +142,22 @@
     assert 100.0 <= decision.retry_after_ms <= 1_000.0
 
 
+def test_a_kind_of_which_nothing_is_known_is_tried_however_short_its_time() -> None:
+    """A route with 400 ms and an objective of 1200 ms was refused for ever, by a guess of 480."""
+    placement = make_placement(make_target(0))
+    demand = make_demand("new", time_ms=400.0, latency_ms=1_200.0)
+    assert isinstance(placement.place(demand, frozenset(), 0.0), Place)
+
+
+def test_answers_that_may_come_sooner_than_usual_are_not_given_up() -> None:
+    placement = make_placement(make_target(0))
+    for _ in range(20):
+        placement.learn(served("t0", 500.0), 0.0)
+    assert isinstance(placement.place(make_demand(time_ms=400.0), frozenset(), 0.0), Place)
+    hopeless = placement.place(make_demand(time_ms=200.0), frozenset(), 0.0)
+    assert isinstance(hopeless, Reject)
+
+
 def test_a_less_urgent_kind_leaves_room_for_the_most_urgent_one() -> None:
     placement = make_placement(make_target(0, slots=2))
     for _ in range(30):
