--- a/cactusvane/daemon.py
+++ b/cactusvane/daemon.py
@@ -25,8 +25,9 @@
 from cactusvane.events import Event
 from cactusvane.fleet.vm import Vm
 from cactusvane.http.check import bad_request
+from cactusvane.http.exchange import Caller
 from cactusvane.http.message import Answer, Request
-from cactusvane.http.server import Caller, Server
+from cactusvane.http.server import Server
 from cactusvane.keeper_entry import KeeperEntry
 from cactusvane.keyed import KeyedRequests
 from cactusvane.metrics import Recorder
--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -15,8 +15,9 @@
 from cactusvane.fleet.vm import Address
 from cactusvane.http.check import bad_request
 from cactusvane.http.client import ClientConnection
+from cactusvane.http.exchange import Caller
 from cactusvane.http.message import Answer, Request, end_to_end
-from cactusvane.http.server import VERDICT_HEADER, Caller
+from cactusvane.http.refusal import VERDICT_HEADER
 from cactusvane.http.stream import RelayedStream
 from cactusvane.metrics import KindRecord
 from cactusvane.outcome import Outcome
--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -15,8 +15,8 @@
 from cactusvane.fleet.vm import Vm, group_by_service
 from cactusvane.http.check import bad_request
 from cactusvane.http.connection import TargetConnections
+from cactusvane.http.exchange import Caller
 from cactusvane.http.message import Answer, Request
-from cactusvane.http.server import Caller
 from cactusvane.http.vocabulary import Vocabulary
 from cactusvane.metrics import Recorder
 from cactusvane.report.ledger import Ledger
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -14,8 +14,9 @@
 from cactusvane import events
 from cactusvane.clock import MS_PER_SECOND, Clock
 from cactusvane.entry import Entry
-from cactusvane.errors import CactusvaneError, PlatformError
+from cactusvane.errors import CactusvaneError
 from cactusvane.events import Event
+from cactusvane.fleet.changes import log_changes
 from cactusvane.fleet.lapse import LapsedTargets
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.following.decoder import TableDecoder, VersionedConfiguration
@@ -27,13 +28,15 @@
     asked_version,
     encode,
 )
+from cactusvane.following.finder import EntryFinder
 from cactusvane.following.follower import FollowSettings, TableFollower
 from cactusvane.following.readers import Candidate, is_reader
 from cactusvane.following.source import TableSource
 from cactusvane.http.check import bad_request
 from cactusvane.http.connection import TargetConnections
+from cactusvane.http.exchange import Caller
 from cactusvane.http.message import Answer, Request
-from cactusvane.http.server import Caller, Server
+from cactusvane.http.server import Server
 from cactusvane.http.vocabulary import Vocabulary
 from cactusvane.metrics import Recorder
 from cactusvane.placement.domain import Domain
@@ -60,9 +63,6 @@
 TICK_MS = 100.0
 """How often time passes in the decisions."""
 
-ENTER_PAUSE_MS = 500.0
-"""Pause before the platform's list of entries is asked again."""
-
 
 @dataclass(frozen=True, slots=True)
 class PlatformParts:
@@ -151,6 +151,15 @@
             CONFIGURATION_TABLE: self.follower(CONFIGURATION_TABLE, self.configuration_changed),
             TARGETS_TABLE: self.follower(TARGETS_TABLE, self.targets_changed),
         }
+        self.finder = EntryFinder(
+            settings,
+            platform.directory,
+            self.domain,
+            self.exchange,
+            self.followers,
+            self.announce,
+            self.clock,
+        )
         self.lapsed = LapsedTargets()
         self.notices = NoticeEndpoint(self.hear)
         self.server = Server(settings.http, self.entry.handle)
@@ -229,9 +238,9 @@
         events.write(Event.DAEMON_STARTED, vm=self.settings.vm, address=address)
         for follower in self.followers.values():
             self.start(follower.run())
-        self.start(self.enter())
+        self.start(self.finder.enter())
         self.start(self.tick())
-        self.start(self.ask_seeds())
+        self.start(self.finder.ask_seeds(lambda: self.ready or self.stopping.is_set()))
         await self.stopping.wait()
         await self.stop()
 
@@ -247,54 +256,6 @@
         if not task.cancelled() and (error := task.exception()):
             events.write(Event.DAEMON_TASK_FAILED, error=repr(error))
 
-    async def enter(self) -> None:
-        """Enter this VM on the list of entries, and greet those that are there."""
-        own = Vm(
-            self.settings.vm,
-            self.settings.listen,
-            self.settings.failure_domain,
-            peer=self.settings.peer,
-        )
-        while True:
-            try:
-                self.meet(await self.platform.directory.enter(own))
-                return
-            except PlatformError as error:
-                events.write(Event.TABLE_LOST, table="entries", reason=str(error))
-                await asyncio.sleep(ENTER_PAUSE_MS * self.random.uniform(0.5, 2.0) / MS_PER_SECOND)
-
-    def meet(self, vms: tuple[Vm, ...]) -> None:
-        """Take in entries of the failure domain and tell them of this one."""
-        now = self.clock.now()
-        new = [
-            vm
-            for vm in vms
-            if vm.failure_domain == self.settings.failure_domain
-            and vm.peer is not None
-            and self.domain.meet(vm.name, vm.peer, now)
-        ]
-        if new:
-            self.announce(urgent=True)
-
-    async def ask_seeds(self) -> None:
-        """Learn from other entries while the platform does not answer."""
-        own = self.settings.peer
-        while not self.ready and not self.stopping.is_set():
-            await asyncio.sleep(ENTER_PAUSE_MS / MS_PER_SECOND)
-            for address in self.settings.peers:
-                if address != own and not self.ready:
-                    await self.ask_seed(address)
-
-    async def ask_seed(self, address: Address) -> None:
-        """Learn from one other entry."""
-        try:
-            self.meet(await self.exchange.entries(address))
-            for follower in self.followers.values():
-                if not follower.copy.loaded:
-                    follower.take(await self.exchange.pull(address, follower.table, 0), "entry")
-        except CactusvaneError as error:
-            events.write(Event.PULL_FAILED, table="all", peer=str(address), reason=str(error))
-
     def configuration_changed(self, keys: tuple[str, ...]) -> None:
         """Put the table's configuration in force unless it is older than the one in force."""
         rows = self.followers[CONFIGURATION_TABLE].copy.values()
@@ -400,7 +361,7 @@
         except CactusvaneError as error:
             events.write(Event.DAEMON_TASK_FAILED, error=f"settings were not read: {error}")
             return
-        self.settings = replace(self.settings, peers=settings.peers)
+        self.settings = self.finder.settings = replace(self.settings, peers=settings.peers)
         events.write(Event.SETTINGS_RELOADED, vm=self.settings.vm)
 
     async def stop(self) -> None:
@@ -434,39 +395,14 @@
     async def answer_peer(self, request: Request, caller: Caller) -> Answer:
         """Answer another entry."""
         if request.path == ENTRIES_PATH:
-            return encode(self.known_entries())
+            return encode(self.finder.known())
         follower = self.followers.get(request.path.removeprefix(TABLES_PATH))
         if follower is None:
             raise bad_request("no-route", f"there are {ENTRIES_PATH} and {TABLES_PATH}NAME", 404)
         return encode(follower.copy.since(asked_version(request)))
 
-    def known_entries(self) -> tuple[Vm, ...]:
-        """Return the entries of the failure domain, this one among them."""
-        domain = self.settings.failure_domain
-        known = {self.settings.vm: self.settings.peer}
-        known |= {vm: peer.address for vm, peer in self.domain.peers.items()}
-        return tuple(Vm(vm, address, domain, peer=address) for vm, address in known.items())
-
 
 def candidate(vm: str, notice: Notice, heard_ago_ms: float) -> Candidate:
     """Return another entry as a reader, by what it said `heard_ago_ms` ago."""
     age = notice.reading.answer_age_ms
     return Candidate(vm, None if age is None else age + heard_ago_ms, notice.reading.able)
-
-
-def log_changes(before: tuple[Vm, ...], after: tuple[Vm, ...]) -> None:
-    """Log each target that came, changed its state or went."""
-    known = {vm.name: vm for vm in before}
-    for vm in after:
-        last = known.pop(vm.name, None)
-        if last is None or last.state is not vm.state or last.address != vm.address:
-            events.write(
-                Event.TARGET_LISTED,
-                service=vm.service,
-                target=vm.name,
-                address=str(vm.address),
-                state=vm.state.value,
-            )
-    for vm in known.values():
-        address = str(vm.address)
-        events.write(Event.TARGET_UNLISTED, service=vm.service, target=vm.name, address=address)
--- a/tests/adapter/store_standin.py
+++ b/tests/adapter/store_standin.py
@@ -7,8 +7,9 @@
 import msgspec
 
 from cactusvane.fleet.vm import Address
+from cactusvane.http.exchange import Caller
 from cactusvane.http.message import Answer, Request
-from cactusvane.http.server import Caller, Server
+from cactusvane.http.server import Server
 from cactusvane.settings import HttpLimits
 
 LIMIT = 3
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -11,8 +11,9 @@
 from cactusvane.errors import BrokenAnswerError
 from cactusvane.fleet.vm import Address
 from cactusvane.http.check import bad_request
+from cactusvane.http.exchange import Caller
 from cactusvane.http.message import Answer, Request
-from cactusvane.http.server import Caller, Handler, Server
+from cactusvane.http.server import Handler, Server
 from cactusvane.settings import HttpLimits
 
 LIMITS = HttpLimits(head_bytes=2_048, body_bytes=1_000, head_ms=300, body_ms=300)
