Share retries within a failure domain

Ruled out: placement, which avoids a target after one or two failures (timelines of all targets of bookings-svc).

--- a/bench/load.py
+++ b/bench/load.py
@@ -30,6 +30,7 @@
 from cactusvane.outcome import Outcome
 from cactusvane.placement.domain import Domain
 from cactusvane.placement.messages import Demand, Observation, Place, Reading, Reject, Wait
+from cactusvane.placement.retries import RetryLimit
 from cactusvane.request.attempts import (
     Answered,
     AttemptResult,
@@ -38,7 +39,7 @@
     NoTarget,
     Try,
 )
-from cactusvane.request.budget import RetryBudget, RetrySettings
+from cactusvane.request.budget import Retries, RetryBudget, RetrySettings
 from cactusvane.verdict import Verdict
 
 SLOTS = 4
@@ -50,6 +51,7 @@
 LATE_WORTH = 0.3
 READING = Reading(True, 0.0, None, {})
 RETRIES = RetrySettings(0.18, 1.2, paced_sheds=0, free_connects=4)
+LIMIT = RetryLimit(share=0.18, extra=57.6, window_ms=10_000.0, domains=len(DOMAINS))
 
 LOST = {
     Outcome.SHED: Verdict.NOT_RUN,
@@ -85,7 +87,7 @@
     def __init__(self, fleet: Fleet, name: str, domain: str) -> None:
         self.fleet = fleet
         self.name = name
-        self.domain = Domain(name, domain, 1, Random(name))
+        self.domain = Domain(name, domain, 1, Random(name), limit=LIMIT)
         self.domain.list_targets({"s": tuple(target.vm for target in fleet.targets)}, 0.0)
         self.domain.configure(Configuration((Service("s", (), (), 1, 1, 1),)), 0.0)
         self.placement = self.domain.placements["s"]
@@ -111,6 +113,11 @@
         """Return what answers usually take."""
         return self.placement.work.expected(kind.route.kind, kind.route.latency_ms)
 
+    @property
+    def budget(self) -> Retries:
+        """Retries that the entry may make."""
+        return self.domain.retries["s"]
+
     def announce(self) -> None:
         """Tell the other entries soon."""
         if not self.told:
@@ -120,7 +127,7 @@
     def tell(self) -> None:
         """Tell the other entries of the domain now."""
         self.told = False
-        notice = self.domain.next_notice(READING)
+        notice = self.domain.next_notice(READING, self.fleet.world.now)
         now = self.fleet.world.now
         for entry in self.fleet.entries:
             same = entry.domain.failure_domain == self.domain.failure_domain
@@ -131,6 +138,15 @@
 class BlindEntry(SharedEntry):
     """An entry that chooses any target of its failure domain and hears of nothing."""
 
+    def __init__(self, fleet: Fleet, name: str, domain: str) -> None:
+        super().__init__(fleet, name, domain)
+        self.bucket = RetryBudget(RETRIES.share, RETRIES.burst)
+
+    @property
+    def budget(self) -> Retries:
+        """Retries that the entry may make, apart from all others."""
+        return self.bucket
+
     def place(self, demand: Demand, tried: frozenset[Address]) -> Place | Wait | Reject:
         """Choose at random."""
         own = self.domain.failure_domain
@@ -164,7 +180,7 @@
         self.work_ms = work_ms
         self.arrived = self.world.now
         route = kind.route
-        budget = fleet.budgets[entry.name]
+        budget = entry.budget
         usual = entry.usual_ms(kind)
         self.attempts = Attempts(route, route.deadline_ms, budget, self.arrived, RETRIES, usual)
         self.demand = Demand(
@@ -241,9 +257,8 @@
     random: Random
     targets: list[Target]
     entries: list[SharedEntry] = field(default_factory=list)
-    budgets: dict[str, RetryBudget] = field(default_factory=dict)
     by_name: dict[str, Target] = field(default_factory=dict)
-    tally: Tally = field(default_factory=Tally)
+    tally: Tally = field(default_factory=lambda: Tally())
 
 
 MakeEntry = Callable[[Fleet, str, str], SharedEntry]
@@ -274,7 +289,6 @@
         for number in range(ENTRIES):
             entry = make(fleet, f"{domain}{number}", domain)
             fleet.entries.append(entry)
-            fleet.budgets[entry.name] = RetryBudget(RETRIES.share, RETRIES.burst)
 
     def arrive(kind: Kind, work_ms: float) -> None:
         Journey(fleet, random.choice(fleet.entries), kind, work_ms).begin()
--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -233,7 +233,7 @@
                 reason=result.text if isinstance(result, Lost) else "",
                 attempt=self.last_attempt,
                 number=len(self.tried),
-                retries_left=round(self.attempts.budget.tokens, 2),
+                retries_left=round(self.attempts.budget.left(self.clock.now()), 2),
                 configuration=self.entry.version,
             )
 
--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -21,7 +21,7 @@
 from cactusvane.metrics import Recorder
 from cactusvane.report.ledger import Ledger
 from cactusvane.request.admission import Placer
-from cactusvane.request.budget import RetryBudget
+from cactusvane.request.budget import Retries
 from cactusvane.settings import Settings
 from cactusvane.verdict import Verdict
 
@@ -80,20 +80,18 @@
         self.version = 0
         self.table = RoutingTable(Configuration())
         self.rules = build_table(())
-        self.budgets: dict[str, RetryBudget] = {}
+        self.budgets: dict[str, Retries] = {}
 
     def configure(self, configuration: Configuration) -> None:
         """Put a configuration in force; services that did not change are not touched."""
         self.configured = True
         self.table.replace(configuration)
         self.rules = build_table(configuration.rules)
-        retries = self.settings.retries
+        self.placer.configure(configuration)
         self.budgets = {
-            service.name: self.budgets.get(service.name)
-            or RetryBudget(retries.share, retries.burst)
+            service.name: self.budgets.get(service.name) or self.placer.retries(service.name)
             for service in configuration.services
         }
-        self.placer.configure(configuration)
 
     def list_vms(self, vms: tuple[Vm, ...]) -> None:
         """Take in the list of all VMs."""
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -43,7 +43,8 @@
 from cactusvane.placement.messages import Notice, Reading
 from cactusvane.placement.notices import NoticeEndpoint
 from cactusvane.placement.placer import SharedPlacer
-from cactusvane.settings import HttpLimits, Settings
+from cactusvane.placement.retries import RetryLimit
+from cactusvane.settings import Settings
 
 CONFIGURATION_TABLE = "configuration"
 TARGETS_TABLE = "targets"
@@ -93,15 +94,12 @@
     Parameters
     ----------
     retries
-        Retries for one service that may come at once from the whole fleet.
-    domains
-        Failure domains of the fleet.
+        For each service.
     follow
         How soon a change must be known everywhere.
     """
 
-    retries: float
-    domains: int
+    retries: RetryLimit
     follow: FollowSettings
 
 
@@ -135,7 +133,9 @@
         self.random = Random(f"{settings.vm}/{self.clock.wall()}")
         self.recorder = Recorder()
         started = int(self.clock.wall())
-        self.domain = Domain(settings.vm, settings.failure_domain, started, self.random)
+        self.domain = Domain(
+            settings.vm, settings.failure_domain, started, self.random, limit=fleet.retries
+        )
         self.placer = SharedPlacer(self.domain, self.clock, self.announce)
         self.entry = Entry(
             settings,
@@ -167,7 +167,6 @@
         self.peer_server = Server(settings.http, self.answer_peer)
         self.version = 0
         self.listed: tuple[Vm, ...] = ()
-        self.limits: HttpLimits = settings.http
         self.stopping = asyncio.Event()
         self.ended = False
         self.was_ready = False
@@ -325,7 +324,7 @@
         """Tell the other entries of the failure domain now."""
         self.announcing = None
         self.told_at = self.clock.now()
-        notice = self.domain.next_notice(self.reading())
+        notice = self.domain.next_notice(self.reading(), self.told_at)
         self.notices.send(notice, self.domain.recipients())
 
     async def tick(self) -> None:
@@ -334,18 +333,10 @@
             await asyncio.sleep(TICK_MS / MS_PER_SECOND)
             now = self.clock.now()
             self.entry.tick()
-            self.share_retries(now)
             self.watch_store(now)
             if now - self.told_at >= BEAT_MS:
                 self.tell()
 
-    def share_retries(self, now: float) -> None:
-        """Take this VM's share of the retries that the fleet may make at once."""
-        entries = (len(self.domain.live_peers(now)) + 1) * self.fleet.domains
-        burst = max(1.0, self.fleet.retries / entries)
-        for budget in self.entry.budgets.values():
-            budget.change(self.settings.retries.share, burst)
-
     def watch_store(self, now: float) -> None:
         """Note outages of the platform, and give up targets that did not come back after one."""
         failed_at = self.followers[TARGETS_TABLE].failed_at
--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -14,6 +14,7 @@
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.placement.messages import Notice, Observation, Reading
 from cactusvane.placement.placement import Placement
+from cactusvane.placement.retries import RetryLimit, SharedRetries, Spending
 from cactusvane.placement.settings import PlacementSettings
 
 PEER_MS = 2_500.0
@@ -74,6 +75,8 @@
         Source of all random choices.
     settings
         How loads and evidence become decisions.
+    limit
+        Retries of the whole fleet for each service.
     """
 
     def __init__(
@@ -83,13 +86,16 @@
         started: int,
         random: Random,
         settings: PlacementSettings | None = None,
+        limit: RetryLimit = RetryLimit(),  # noqa: B008
     ) -> None:
         self.vm = vm
         self.failure_domain = failure_domain
         self.started = started
         self.random = random
         self.settings = settings or PlacementSettings()
+        self.limit = limit
         self.placements: dict[str, Placement] = {}
+        self.retries: dict[str, SharedRetries] = {}
         self.by_target: dict[str, Placement] = {}
         self.listed: dict[str, tuple[Vm, ...]] = {}
         self.peers: dict[str, Peer] = {}
@@ -105,6 +111,10 @@
             if placement is None:
                 placement = Placement(self.failure_domain, self.random, self.settings)
             self.placements[service.name] = placement
+        self.retries = {
+            name: self.retries.get(name) or SharedRetries(self.limit, now, self.heard_share)
+            for name in self.placements
+        }
         self.list_targets(self.listed, now)
 
     def list_targets(self, listed: dict[str, tuple[Vm, ...]], now: float) -> None:
@@ -139,6 +149,18 @@
             if placement is not None:
                 placement.targets[name].used_at = now
 
+    def note_spending(self, notice: Notice, last: Notice | None, now: float) -> None:
+        """Note what another entry spent of the retries, by service."""
+        before = last.spent if last is not None and last.started == notice.started else {}
+        for service in before.keys() | notice.spent.keys():
+            retries = self.retries.get(service)
+            if retries is not None:
+                retries.hear(notice.sender, notice.started, notice.spent.get(service), now)
+
+    def heard_share(self, now: float) -> float:
+        """Return the share of the failure domain's entries that are heard, with this one."""
+        return (len(self.live_peers(now)) + 1) / (len(self.peers) + 1)
+
     def meet(self, vm: str, address: Address, now: float) -> bool:
         """Take in an entry of the failure domain and say whether it is new here."""
         if vm == self.vm:
@@ -170,6 +192,7 @@
         peer.heard = now
         self.add_load(notice, 1)
         self.note_use(notice, now)
+        self.note_spending(notice, last, now)
         for seen in notice.seen:
             placement = self.by_target.get(seen.target)
             if placement is not None:
@@ -177,7 +200,9 @@
         return True
 
     def expire(self, now: float) -> None:
-        """Drop the loads of entries that were not heard for long."""
+        """Drop the loads of entries that were not heard for long, and old spending."""
+        for retries in self.retries.values():
+            retries.expire(now)
         for vm, peer in tuple(self.peers.items()):
             if now - peer.heard <= PEER_MS:
                 continue
@@ -205,13 +230,20 @@
         """Keep an observation for the next notice."""
         self.unsent.append(seen)
 
-    def next_notice(self, reading: Reading) -> Notice:
+    def spent(self, now: float) -> dict[str, Spending]:
+        """Return what this entry had in the latest window, for services with any request."""
+        totals = {name: retries.own.total(now) for name, retries in self.retries.items()}
+        return {name: total for name, total in totals.items() if total.requests or total.retries}
+
+    def next_notice(self, reading: Reading, now: float) -> Notice:
         """Return what to tell the other entries now.
 
         Parameters
         ----------
         reading
             How the platform answers this entry.
+        now
+            Milliseconds of the process's clock.
         """
         self.number += 1
         seen, self.unsent = tuple(self.unsent), []
@@ -221,4 +253,5 @@
             for name, target in placement.targets.items()
             if target.own
         }
-        return Notice(self.vm, self.number, self.started, reading, in_flight, seen)
+        spent = self.spent(now)
+        return Notice(self.vm, self.number, self.started, reading, in_flight, seen, spent)
--- a/cactusvane/placement/messages.py
+++ b/cactusvane/placement/messages.py
@@ -1,9 +1,10 @@
 """What placement is asked, what it answers, and what entries tell each other."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from cactusvane.fleet.vm import Address
 from cactusvane.outcome import Outcome
+from cactusvane.placement.retries import Spending
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,6 +152,8 @@
         Its requests in flight by target.
     seen
         What attempts showed since the last notice.
+    spent
+        Its requests and retries within the latest window, by service.
     """
 
     sender: str
@@ -159,3 +162,4 @@
     reading: Reading
     in_flight: dict[str, int]
     seen: tuple[Observation, ...] = ()
+    spent: dict[str, Spending] = field(default_factory=dict)
--- a/cactusvane/placement/placer.py
+++ b/cactusvane/placement/placer.py
@@ -8,6 +8,7 @@
 from cactusvane.placement.admission import SharedAdmission
 from cactusvane.placement.domain import Domain
 from cactusvane.request.admission import Admission
+from cactusvane.request.budget import Retries
 
 
 class SharedPlacer:
@@ -41,6 +42,10 @@
         }
         self.admissions = dict(self.shared)
 
+    def retries(self, service: str) -> Retries:
+        """Return the retries that the failure domain may make for a service."""
+        return self.domain.retries[service]
+
     def list_vms(self, listed: dict[str, tuple[Vm, ...]]) -> None:
         """Take in the targets by service."""
         self.domain.list_targets(listed, self.clock.now())
--- a/cactusvane/request/admission.py
+++ b/cactusvane/request/admission.py
@@ -6,6 +6,7 @@
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.outcome import Outcome
 from cactusvane.placement.messages import Demand, Place, Reject
+from cactusvane.request.budget import Retries
 
 
 class Ticket:
@@ -49,6 +50,9 @@
     def configure(self, configuration: Configuration) -> None:
         """Put a configuration in force."""
 
+    def retries(self, service: str) -> Retries:
+        """Return the retries that a new service may make."""
+
     def list_vms(self, listed: dict[str, tuple[Vm, ...]]) -> None:
         """Take in the VM list, by service."""
 
--- a/cactusvane/request/attempts.py
+++ b/cactusvane/request/attempts.py
@@ -8,7 +8,7 @@
 
 from cactusvane.configuration.model import Route
 from cactusvane.outcome import Outcome
-from cactusvane.request.budget import RetryBudget, RetrySettings
+from cactusvane.request.budget import Retries, RetrySettings
 from cactusvane.verdict import Verdict
 
 SECOND_ATTEMPT = 2.0
@@ -96,7 +96,7 @@
         self,
         route: Route,
         deadline_ms: float,
-        budget: RetryBudget,
+        budget: Retries,
         now: float,
         settings: RetrySettings = RetrySettings(),  # noqa: B008
         usual_ms: float | None = None,
@@ -113,7 +113,7 @@
         self.holds_answer = False
         self.last = Lost(Outcome.UNREACHABLE, Verdict.NOT_RUN)
         self.verdict = Verdict.NOT_RUN
-        budget.deposit()
+        budget.deposit(now)
 
     def first(self, now: float) -> AttemptCommand:
         """Return what to do with a new request."""
@@ -190,7 +190,7 @@
         if self.made >= self.route.attempts or now >= self.deadline:
             return False
         reserved, self.reserved = self.reserved, False
-        return reserved or self.budget.withdraw()
+        return reserved or self.budget.withdraw(now)
 
     def send(self, now: float) -> AttemptCommand:
         """Return the command for one attempt; an idempotent one leaves time for another.
--- a/cactusvane/request/budget.py
+++ b/cactusvane/request/budget.py
@@ -1,7 +1,7 @@
 """A bound on retries, so that they cannot grow a storm."""
 
 from dataclasses import dataclass
-from typing import Annotated, ClassVar
+from typing import Annotated, ClassVar, Protocol
 
 from annotated_types import Ge, Le
 
@@ -39,6 +39,19 @@
     free_connects: Annotated[int, Ge(0)] = 0
 
 
+class Retries(Protocol):
+    """Retries that a service may make; times are milliseconds of the process's clock."""
+
+    def deposit(self, now: float) -> None:
+        """Count one request."""
+
+    def withdraw(self, now: float) -> bool:
+        """Take one retry and say whether there was one."""
+
+    def left(self, now: float) -> float:
+        """Return how many retries may be made now."""
+
+
 class RetryBudget:
     """A token bucket that requests fill and retries empty.
 
@@ -52,11 +65,11 @@
     Examples
     --------
     >>> budget = RetryBudget(share=0.5, burst=1.0)
-    >>> [budget.withdraw(), budget.withdraw()]
+    >>> [budget.withdraw(0.0), budget.withdraw(0.0)]
     [True, False]
-    >>> budget.deposit()
-    >>> budget.deposit()
-    >>> budget.withdraw()
+    >>> budget.deposit(0.0)
+    >>> budget.deposit(0.0)
+    >>> budget.withdraw(0.0)
     True
     """
 
@@ -65,19 +78,17 @@
         self.burst = burst
         self.tokens = burst
 
-    def change(self, share: float, burst: float) -> None:
-        """Go by other bounds; tokens above them are lost."""
-        self.share = share
-        self.burst = burst
-        self.tokens = min(self.tokens, burst)
-
-    def deposit(self) -> None:
-        """Note one request."""
+    def deposit(self, now: float) -> None:
+        """Count one request."""
         self.tokens = min(self.burst, self.tokens + self.share)
 
-    def withdraw(self) -> bool:
+    def withdraw(self, now: float) -> bool:
         """Take one retry and say whether there was one."""
         if self.tokens < 1.0:
             return False
         self.tokens -= 1.0
         return True
+
+    def left(self, now: float) -> float:
+        """Return how many retries may be made now."""
+        return self.tokens
--- a/cactusvane/slots/placer.py
+++ b/cactusvane/slots/placer.py
@@ -35,6 +35,7 @@
 from cactusvane.pool.pool import Pool
 from cactusvane.pool.target import TargetState
 from cactusvane.request.admission import Admission
+from cactusvane.request.budget import Retries, RetryBudget
 from cactusvane.settings import Settings
 from cactusvane.slots.admission import KeptAdmission
 from cactusvane.slots.entry import EntrySlots, Pending
@@ -127,6 +128,11 @@
             if before.get(name) != service:
                 self.change_service(service)
 
+    def retries(self, service: str) -> Retries:
+        """Return the retries that this entry may make for a service."""
+        settings = self.settings.retries
+        return RetryBudget(settings.share, settings.burst)
+
     def change_service(self, service: Service) -> None:
         """Put one service's file in force; what is known of its targets stays."""
         state = self.services[service.name] = self.state(service)
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -17,6 +17,7 @@
 from cactusvane.following.follower import FollowSettings
 from cactusvane.http.client import fetch
 from cactusvane.http.message import Answer, Headers
+from cactusvane.placement.retries import RetryLimit
 from cactusvane.request.budget import RetrySettings
 from cactusvane.settings import HttpLimits, Settings
 from tests.adapter.store_standin import StoreStandin
@@ -128,7 +129,7 @@
         )
         store = Store(self.store_address)
         platform = PlatformParts(store, Decoder(), store, VOCABULARY)
-        limits = FleetLimits(60.0, 1, FOLLOW)
+        limits = FleetLimits(RetryLimit(extra=60.0), FOLLOW)
         process = FleetProcess(settings, limits, platform, lambda: replace(settings, peers=()))
         self.processes.append(process)
         self.running.append(asyncio.ensure_future(process.run()))
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -41,9 +41,10 @@
     assert settings.peer == Address("10.1.0.18", 7200)
     assert settings.peers == (Address("10.1.0.18", 8382), Address("10.2.0.34", 8382))
     assert start.control == Address("10.1.0.18", 8382)
-    assert start.fleet.domains == 2
-    assert start.fleet.retries < 64
-    assert settings.retries.share < 0.2
+    assert start.fleet.retries.domains == 2
+    assert start.fleet.retries.extra < 64
+    assert start.fleet.retries.share < 0.2
+    assert start.fleet.retries.window_ms == 10_000.0
 
 
 def test_a_stop_ends_before_the_platform_kills(
--- a/tests/placement/test_domain.py
+++ b/tests/placement/test_domain.py
@@ -81,8 +81,8 @@
 def test_what_was_seen_is_told_once_and_learned() -> None:
     one, two = make_domain(), Domain("e2", NEAR, 100, Random(2))
     two.observe(Observation("t0", "read", Outcome.FAILED, 10.0))
-    told = two.next_notice(READING)
-    assert two.next_notice(READING).seen == ()
+    told = two.next_notice(READING, 0.0)
+    assert two.next_notice(READING, 0.0).seen == ()
     one.hear(told, PEER, 0.0)
     assert one.placements["records"].targets["t0"].evidence.failure_share(0.0) > 0.3
 
