Try known gray targets less often, bound what one answer says of slowness, shorten a queue of late answers

A target that failed when used last now rests 3.5 s: one that failed by itself counts as sound again after 2 s, and two more may pass unused. - after a restart the first answer of a kind set its usual time; where it took 4 ms, targets with ordinary answers looked ten times slow, so that lookups stayed with a target near by that failed six of ten, and others were turned away as too late within 0.2 ms. What is expected counts for two answers now, and one answer for slowness of four at most. - in long overload one answer in seven came late: the queue's bound is drawn in as the share of late answers grows. Asking whether a retry has room no longer counts as a failed request.

--- a/cactusvane/placement/admission.py
+++ b/cactusvane/placement/admission.py
@@ -53,7 +53,7 @@
 
     def has_room(self, demand: Demand, tried: frozenset[Address]) -> bool:
         """Say whether a target that was not tried could take the request now."""
-        return isinstance(self.placement.place(demand, tried, self.clock.now()), Place)
+        return isinstance(self.placement.decide(demand, tried, self.clock.now()), Place)
 
     def open(self, demand: Demand, tried: frozenset[Address]) -> Ticket:
         """Take in a request that was sent to the targets `tried` already."""
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -53,10 +53,10 @@
         self.random = random
         self.settings = settings
         self.targets: dict[str, Target] = {}
-        self.by_address: dict[Address, Target] = {}
         self.work = WorkTimes(settings)
         self.objectives: dict[str, Demand] = {}
         self.outcomes = RecentOutcomes()
+        self.late = RecentOutcomes()
 
     def list_targets(self, vms: Iterable[Vm], now: float) -> None:
         """Go by a new list; what is known of targets that stay is kept."""
@@ -69,10 +69,22 @@
             else:
                 target.list(vm, now)
             self.targets[vm.name] = target
-        self.by_address = {target.vm.address: target for target in self.targets.values()}
 
     def place(self, demand: Demand, tried: frozenset[Address], now: float) -> Decision:
-        """Decide about one request.
+        """Decide about one request, and count it as failed if it is rejected.
+
+        Parameters
+        ----------
+        demand, tried, now
+            As for `decide`.
+        """
+        decision = self.decide(demand, tried, now)
+        if isinstance(decision, Reject):
+            self.outcomes.add(False, now)
+        return decision
+
+    def decide(self, demand: Demand, tried: frozenset[Address], now: float) -> Decision:
+        """Return what would become of one request.
 
         Parameters
         ----------
@@ -97,7 +109,6 @@
         best = min(candidates, key=lambda target: self.cost(target, demand, work, now))
         inputs = self.inputs(best, work, now)
         if self.is_hopeless(demand, inputs, work, now):
-            self.outcomes.add(False, now)
             return Reject("too-late", self.retry_after(inputs.wait_ms))
         if inputs.wait_ms > self.most_wait(demand):
             return self.wait_or_reject(demand, "no-room", inputs.wait_ms, now)
@@ -114,22 +125,27 @@
         if inputs.wait_ms == 0.0:
             return now + self.settings.soonest_share * usual > demand.deadline
         objective = demand.arrived + demand.latency_ms
-        latest = objective + self.settings.late_share * (demand.deadline - objective)
+        late = self.late.failure_share(now) / self.settings.most_late
+        share = self.settings.late_share * max(-1.0, 1.0 - late)
+        latest = objective + share * (demand.deadline - objective)
         return now + inputs.wait_ms + usual > min(latest, demand.deadline)
 
     def left_out(self, usable: list[Target], now: float) -> list[Target]:
         """Return the targets near by that nobody used for long while the service does badly.
 
         Where many requests fail, what speaks against a target may be old, or wrong, and those in
-        use are no better.
+        use are no better. One that failed when it was used last is left alone for longer.
         """
         if self.outcomes.failure_share(now) < self.settings.badly_share:
             return []
-        before = now - self.settings.unused_ms
+        unused_since = now - self.settings.unused_ms
+        failed_before = now - self.settings.failed_ms
         return [
             target
             for target in usable
-            if target.used_at < before and target.vm.failure_domain == self.failure_domain
+            if target.used_at < unused_since
+            and target.failed_at < failed_before
+            and target.vm.failure_domain == self.failure_domain
         ]
 
     def wait_or_reject(
@@ -139,7 +155,6 @@
         until = demand.arrived + self.settings.wait_share * demand.latency_ms
         if now < until:
             return Wait(until)
-        self.outcomes.add(False, now)
         return Reject(reason, self.retry_after(wait_ms))
 
     def retry_after(self, wait_ms: float) -> float:
@@ -214,9 +229,9 @@
             target.used_at = max(target.used_at, now - seen.latency_ms)
             self.outcomes.add(seen.outcome is Outcome.SERVED, now)
         if seen.outcome is None:
-            target.evidence.add_bad(self.settings.overdue_weight, now)
+            target.fail(self.settings.overdue_weight, now)
         elif seen.outcome in BAD:
-            target.evidence.add_bad(1.0, now)
+            target.fail(1.0, now)
         elif seen.outcome is Outcome.SERVED:
             self.learn_time(target, seen, now)
 
@@ -225,9 +240,13 @@
         if now < target.cold_until:
             target.evidence.add_good(1.0, now)
             return
-        usual = self.work.expected(seen.kind, seen.latency_ms)
-        self.work.add(seen.kind, seen.latency_ms)
-        target.evidence.add_good(seen.latency_ms / max(1.0, usual), now)
+        demand = self.objectives.get(seen.kind)
+        objective = seen.latency_ms if demand is None else demand.latency_ms
+        usual = self.work.expected(seen.kind, objective)
+        self.late.add(seen.latency_ms <= objective, now)
+        self.work.add(seen.kind, seen.latency_ms, objective)
+        slowness = seen.latency_ms / max(1.0, usual)
+        target.evidence.add_good(min(self.settings.most_slowness, slowness), now)
 
     def overdue_ms(self, kind: str, objective_ms: float) -> float:
         """Return the time after which a request in flight speaks against its target."""
--- a/cactusvane/placement/settings.py
+++ b/cactusvane/placement/settings.py
@@ -15,10 +15,16 @@
         How often a good target turns bad and a bad one good; gray failures last some seconds.
     unused_ms
         A target that may take work gets some at least so often while its service does badly.
+    failed_ms
+        A target that failed when it was used last is left alone at least so long: gray failures
+        last some seconds, and what a target did two seconds ago no longer excuses that nobody
+        uses it.
     badly_share
         Share of failed requests from which a service does badly.
     half_life_ms
         Time in which the slowness of answers loses half of its weight.
+    most_slowness
+        Most that one answer counts as a multiple of the usual time; works vary by as much.
     prior_weight
         Answers of the usual time that a target is credited with at first.
     failure_cost
@@ -50,6 +56,9 @@
     late_share
         How far beyond its objective the usual answer of a queued request may come, as a share of
         the time from there to its deadline.
+    most_late
+        Share of late answers at which a queued request must come within its objective; with more
+        of them, earlier still.
     least_retry_after_ms, most_retry_after_ms
         Bounds of the time after which refused callers may come back.
     """
@@ -59,8 +68,10 @@
     onsets_per_s: float = 0.01
     recoveries_per_s: float = 0.25
     unused_ms: float = 1_500.0
+    failed_ms: float = 3_500.0
     badly_share: float = 0.08
     half_life_ms: float = 2_500.0
+    most_slowness: float = 4.0
     prior_weight: float = 1.0
     failure_cost: float = 1.0
     retry_cost: float = 0.9
@@ -77,6 +88,7 @@
     work_share: float = 0.4
     soonest_share: float = 0.5
     late_share: float = 0.25
+    most_late: float = 0.2
     least_retry_after_ms: float = 100.0
     most_retry_after_ms: float = 1_000.0
 
--- a/cactusvane/placement/target.py
+++ b/cactusvane/placement/target.py
@@ -1,5 +1,7 @@
 """What one entry knows of one target: load, evidence, own path."""
 
+from math import inf
+
 from cactusvane.fleet.vm import Vm, VmState
 from cactusvane.placement.evidence import Evidence
 from cactusvane.placement.settings import PlacementSettings
@@ -28,6 +30,9 @@
         Requests in flight of the other entries of the failure domain.
     refused_until
         Until when it is left alone since this entry could not reach it.
+    failed_at
+        When a request of any entry of the failure domain failed there last, as far as this one
+        knows.
     used_at
         When any entry of the failure domain sent it a request last, as far as this one knows.
     misplaced
@@ -37,6 +42,7 @@
     __slots__ = (
         "cold_until",
         "evidence",
+        "failed_at",
         "failures_in_a_row",
         "misplaced",
         "others",
@@ -57,6 +63,7 @@
         self.misplaced = False
         self.cold_until = 0.0
         self.used_at = now
+        self.failed_at = -inf
         self.vm = vm
         self.list(vm, now)
 
@@ -82,6 +89,11 @@
         live = self.vm.state is VmState.LIVE and not self.misplaced
         return live and now >= self.refused_until
 
+    def fail(self, weight: float, now: float) -> None:
+        """Note a failure, or with a `weight` below 1 what only looks like one."""
+        self.evidence.add_bad(weight, now)
+        self.failed_at = now
+
     def reached(self) -> None:
         """Note that a connection was made."""
         self.failures_in_a_row = 0
--- a/cactusvane/placement/work.py
+++ b/cactusvane/placement/work.py
@@ -5,6 +5,9 @@
 LATEST_WEIGHT = 0.05
 """Weight of the latest answer in a mean; a mean goes by some twenty answers."""
 
+PRIOR_ANSWERS = 2
+"""Answers that what is expected before any of them counts for: one answer alone says little."""
+
 
 class WorkTimes:
     """Running means by kind of request and over all.
@@ -19,24 +22,26 @@
     >>> times = WorkTimes(PlacementSettings())
     >>> times.expected("read", objective_ms=1_000.0)
     400.0
-    >>> times.add("read", 200.0)
-    >>> times.expected("read", objective_ms=1_000.0)
-    200.0
+    >>> for _ in range(100):
+    ...     times.add("read", 200.0, objective_ms=1_000.0)
+    >>> round(times.expected("read", objective_ms=1_000.0))
+    200
     """
 
     def __init__(self, settings: PlacementSettings) -> None:
         self.settings = settings
+        self.answers: dict[str, int] = {}
         self.means: dict[str, float] = {}
         self.overall: float | None = None
 
-    def add(self, kind: str, latency_ms: float) -> None:
+    def add(self, kind: str, latency_ms: float, objective_ms: float) -> None:
         """Take in the time of one answer."""
-        self.means[kind] = self.mix(self.means.get(kind), latency_ms)
-        self.overall = self.mix(self.overall, latency_ms)
-
-    def mix(self, mean: float | None, latency_ms: float) -> float:
-        """Return `mean` moved towards the latest value."""
-        return latency_ms if mean is None else mean + LATEST_WEIGHT * (latency_ms - mean)
+        answers = self.answers[kind] = self.answers.get(kind, PRIOR_ANSWERS) + 1
+        weight = max(LATEST_WEIGHT, 1.0 / answers)
+        before = self.expected(kind, objective_ms)
+        self.means[kind] = before + weight * (latency_ms - before)
+        overall = latency_ms if self.overall is None else self.overall
+        self.overall = overall + LATEST_WEIGHT * (latency_ms - overall)
 
     def expected(self, kind: str, objective_ms: float) -> float:
         """Return the usual time of a kind."""
