Soak entries on the users' platform

Cause: the soak ran daemons with keepers only; the adapter, the store's client and shared placement were not under it. Change: the harness starts platform/serve.py against the stand-in of the store as a process of its own, targets with the users' header names behind forwarders, and callers; chaos adds a store that forgets its history, rows that lapse in an outage, all entries killed at once, SIGHUP, and versions in quick succession.

--- a/Makefile
+++ b/Makefile
@@ -45,9 +45,10 @@
 
 SECONDS ?= 60
 SEED ?= 1
+ON ?= platform
 
 soak: install
-	$(PYTHON) -m scripts.soak --seconds $(SECONDS) --seed $(SEED)
+	$(PYTHON) -m scripts.soak --seconds $(SECONDS) --seed $(SEED) --on $(ON)
 
 lock:
 	pip-compile --quiet --extra dev --generate-hashes --allow-unsafe --strip-extras \
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,7 +1,8 @@
-"""Mixed faults for as long as asked: ``make soak SECONDS=60 SEED=1``.
+"""Mixed faults for as long as asked: ``make soak SECONDS=60 SEED=1 ON=platform``.
 
-The last line is the demo's JSON object with the faults put in; it exits with 1 when a promise
-was broken.
+With ``ON=platform`` the entries are those of the users' platform, started by the adapter; with
+``ON=daemon`` they are daemons with keepers. The last line is the demo's JSON object with the
+faults put in; it exits with 1 when a promise was broken.
 """
 
 import argparse
@@ -9,15 +10,24 @@
 import signal
 import sys
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import msgspec
 
 from standins.target import LedgerLine
+from tests.adapter.fleet import (
+    PLATFORM_FAULTS,
+    SERVICES,
+    SHAPES,
+    PlatformChaos,
+    PlatformFleet,
+    kinds,
+)
 from tests.processes.callers import Call, Told
 from tests.processes.chaos import ALL_FAULTS, FAILURE_DOMAINS, LEAST_ENTRIES, Chaos
-from tests.processes.harness import Fleet, fleet
+from tests.processes.harness import Fleet, fleet, fleet_of
 from tests.processes.services import ServiceFile, service
 from tests.processes.verdicts import (
     PlannedStop,
@@ -81,10 +91,10 @@
         chaos = Chaos(running, services, seed, faults, gap_seconds)
         callers = running.callers(seed, LEAVE_SHARE)
         callers.patience = PATIENCE_SECONDS
-        kinds = tuple(kind for one in services for kind in one.kinds())
+        sent = tuple(kind for one in services for kind in one.kinds())
         booking = next(kind for kind in services[1].kinds() if kind.keyed)
         load = asyncio.gather(
-            callers.run(kinds, 10, 40.0, seconds),
+            callers.run(sent, 10, 40.0, seconds),
             callers.keep_booking(booking, 6, seconds),
         )
         await chaos.run(seconds)
@@ -94,6 +104,30 @@
         return found(running, callers.calls, chaos)
 
 
+async def soak_platform(
+    seconds: float,
+    seed: int,
+    faults: tuple[str, ...] = PLATFORM_FAULTS,
+    gap_seconds: float = 0.8,
+    entries: int = 4,
+) -> Soaked:
+    """Run callers against entries on the users' platform in which faults are put in."""
+    async with fleet_of(PlatformFleet) as running:
+        await running.start_platform()
+        await running.configure()
+        await start_processes(running, SERVICES, entries)
+        balancer = asyncio.ensure_future(running.balance())
+        chaos = PlatformChaos(running, SHAPES, seed, faults, gap_seconds)
+        callers = running.callers(seed, LEAVE_SHARE)
+        callers.patience = PATIENCE_SECONDS
+        load = asyncio.ensure_future(callers.run(kinds(), 16, 60.0, seconds))
+        await chaos.run(seconds)
+        await load
+        await asyncio.sleep(SETTLE_SECONDS)
+        balancer.cancel()
+        return found(running, callers.calls, chaos)
+
+
 async def start(running: Fleet, services: tuple[ServiceFile, ...]) -> None:
     """Start everything and publish."""
     directory = running.directory / "services"
@@ -102,14 +136,20 @@
         one.write(directory)
     published = await running.publish(directory)
     assert published.returncode == 0, published.stderr
+    await start_processes(running, [one.name for one in services], LEAST_ENTRIES + 2)
+
+
+async def start_processes(running: Fleet, services: Iterable[str], entries: int) -> None:
+    """Start the targets of all services, and entries."""
     starting = [
-        running.start_target(one.name, FAILURE_DOMAINS[number % 3], mean_ms=15.0, forwarded=True)
-        for one in services
-        for number in range(one.targets)
+        running.start_target(name, FAILURE_DOMAINS[number % 3], mean_ms=15.0, forwarded=True)
+        for name in services
+        for number in range(TARGETS)
     ]
     await asyncio.gather(*starting)
-    await asyncio.gather(*(running.start_entry(domain) for domain in FAILURE_DOMAINS))
-    await running.start_entry(FAILURE_DOMAINS[0])
+    domains = [FAILURE_DOMAINS[number % 3] for number in range(entries)]
+    await asyncio.gather(*(running.start_entry(domain) for domain in domains[:3]))
+    await asyncio.gather(*(running.start_entry(domain) for domain in domains[3:]))
     assert len(running.entries) > LEAST_ENTRIES
 
 
@@ -165,9 +205,13 @@
     return bool(told & {Told.WHOLE, Told.REPEATED}) or told == {Told.NOT_RUN}
 
 
-async def run_until_signal(seconds: float, seed: int) -> Soaked:
+async def run_until_signal(options: argparse.Namespace) -> Soaked:
     """Run, and end all processes also when this one is told to stop."""
-    task = asyncio.ensure_future(soak(seconds, seed))
+    if options.on == "platform":
+        work = soak_platform(options.seconds, options.seed, entries=options.entries)
+    else:
+        work = soak(options.seconds, options.seed)
+    task = asyncio.ensure_future(work)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, task.cancel)
@@ -179,10 +223,12 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--on", choices=("platform", "daemon"), default="platform")
+    parser.add_argument("--entries", type=int, default=4, help="entries on the platform")
     parser.add_argument("--calls", type=Path, help="write the callers' ledger into this file")
     options = parser.parse_args()
     try:
-        result = asyncio.run(run_until_signal(options.seconds, options.seed))
+        result = asyncio.run(run_until_signal(options))
     except asyncio.CancelledError:
         sys.exit(INTERRUPTED)
     if options.calls:
--- a/standins/target.py
+++ b/standins/target.py
@@ -138,7 +138,8 @@
 class Target:
     """The target's state and its way with each request."""
 
-    def __init__(self, behaviour: Behaviour, seed: int, ledger: Ledger) -> None:
+    def __init__(self, behaviour: Behaviour, seed: int, ledger: Ledger, name: str = "") -> None:
+        self.name = name
         self.behaviour = behaviour
         self.random = random.Random(seed)
         self.ledger = ledger
@@ -182,6 +183,10 @@
             return Answer(503, b"full", (("Cactusvane-Shed", "1"),))
         return None
 
+    def fields(self, request: Request) -> tuple[tuple[str, str], ...]:
+        """Return the header fields of an answer besides its length."""
+        return ()
+
     async def run(self, connection: Connection, request: Request) -> bool:
         """Do the work in a slot, unless the caller of idempotent work goes away."""
         self.ledger.write("started", request)
@@ -225,7 +230,8 @@
     async def answer(self, connection: Connection, request: Request) -> bool:
         """Send the answer, in one of the wrong ways where `Behaviour` says so."""
         request_id = request.headers.get("request-id", "")
-        data = connection.encode(Answer(self.status(), answer_body(request_id)))
+        answer = Answer(self.status(), answer_body(request_id), self.fields(request))
+        data = connection.encode(answer)
         goes_on = await self.send(connection.writer, data)
         self.ledger.write("answered", request)
         return goes_on
@@ -276,10 +282,10 @@
         await asyncio.sleep(0.05)
 
 
-async def serve(options: argparse.Namespace) -> None:
+async def serve(options: argparse.Namespace, make: "type[Target]") -> None:
     """Listen until SIGTERM or SIGINT, then drain."""
     behaviour = Behaviour(slots=options.slots, mean_ms=options.mean_ms, cold_ms=options.cold_ms)
-    target = Target(behaviour, options.seed, Ledger(options.ledger))
+    target = make(behaviour, options.seed, Ledger(options.ledger), options.name)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -289,8 +295,8 @@
     await target.stop()
 
 
-def main() -> None:
-    """Read the arguments and serve."""
+def arguments() -> argparse.Namespace:
+    """Return the arguments of the program."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--port", type=int, required=True)
@@ -300,8 +306,14 @@
     parser.add_argument("--cold-ms", type=float, default=0.0)
     parser.add_argument("--seed", type=int, default=0)
     parser.add_argument("--ledger", default="")
+    parser.add_argument("--name", default="", help="what the target calls itself")
+    return parser.parse_args()
+
+
+def main() -> None:
+    """Read the arguments and serve."""
     with contextlib.suppress(asyncio.CancelledError):
-        asyncio.run(serve(parser.parse_args()))
+        asyncio.run(serve(arguments(), Target))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/adapter/fleet.py
@@ -0,0 +1,231 @@
+"""Whole processes on the stand-in of the users' platform: store, targets, entries, callers."""
+
+import asyncio
+import os
+import signal
+from contextlib import suppress
+from dataclasses import dataclass
+
+import msgspec
+
+from tests.processes.callers import Call, Callers, Kind, ask
+from tests.processes.chaos import FAILURE_DOMAINS, Chaos
+from tests.processes.harness import ROOT, Fleet, Process, free_port
+
+DEADLINE_MS = 5_000
+LATENCY_MS = 1_000
+SERVICES = ("records", "booking")
+BOUNDS = {"grace-s": 6, "config-apply-ms": 2_000, "retry-budget-ratio": 0.2, "budget-slack": 64}
+
+
+class PlatformCallers(Callers):
+    """Callers that say what a call is with the users' names."""
+
+    def fields(self, call: Call) -> dict[str, str]:
+        """Return the header fields that tell what a call is."""
+        return {"X-Request-Id": call.request_id, "X-Deadline-Ms": str(DEADLINE_MS)}
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShape:
+    """One service of the fleet as chaos needs it."""
+
+    name: str
+    slots: int = 4
+
+
+SHAPES = tuple(ServiceShape(name) for name in SERVICES)
+
+
+def kinds() -> tuple[Kind, ...]:
+    """Return what callers send: lookups, which are idempotent, and bookings, which are not."""
+    return tuple(
+        kind
+        for name in SERVICES
+        for kind in (
+            Kind(name, f"{name}.example", "/lookups/1", "GET", "lookup"),
+            Kind(name, f"{name}.example", "/bookings/1", "POST", "booking"),
+        )
+    )
+
+
+def route(service: str, prefix: str, kind: str) -> dict[str, object]:
+    """Return a route as operators write it."""
+    return {
+        "name": f"{service}{prefix}",
+        "prefix": prefix,
+        "route-type": kind,
+        "timeout-ms": DEADLINE_MS,
+        "target-latency-ms": LATENCY_MS,
+        "priority": 1,
+        "service": service,
+        "max-attempts": 2,
+    }
+
+
+class PlatformFleet(Fleet):
+    """Entries started by the adapter, before targets that register in the store."""
+
+    target_module = "tests.adapter.target_standin"
+
+    def __init__(self, directory: object) -> None:
+        super().__init__(directory)  # type: ignore[arg-type]
+        self.version = 0
+
+    async def start_platform(self) -> None:
+        """Start the store and wait until it answers."""
+        self.platform_port = free_port()
+        port = str(self.platform_port)
+        self.start("platform", self.platform_port, "tests.adapter.store_standin", "--port", port)
+        await self.answers("platform", self.platform_port, "/rows-get?table=op")
+
+    async def write(self, *rows: dict[str, object]) -> None:
+        """Write rows as operators and targets do."""
+        await ask(self.platform_port, "POST", "/_control/rows", msgspec.json.encode(rows))
+
+    async def platform(self, **faults: object) -> None:
+        """Put faults into the store; none means that all is well again."""
+        body = msgspec.json.encode(faults)
+        await ask(self.platform_port, "POST", "/_control/faults", body)
+
+    async def configure(self) -> None:
+        """Put the next version of the configuration in force."""
+        self.version += 3
+        hosts = [
+            {
+                "host": f"{name}.example",
+                "path-rules": [
+                    route(name, "/lookups/", "read_only"),
+                    route(name, "/bookings/", "non_idempotent"),
+                ],
+            }
+            for name in SERVICES
+        ]
+        value = {
+            "version": f"{self.version:08x}",
+            "services": [{"name": name} for name in SERVICES],
+            "virtual-hosts": hosts,
+        }
+        text = msgspec.json.encode(value).decode()
+        await self.write({"table": "op", "key": "config", "value": text})
+
+    async def register(self, *vms: dict[str, object], removed: tuple[str, ...] = ()) -> None:
+        """Change targets' rows in the store; entries put themselves there."""
+        rows = [target_row(vm) for vm in vms if vm["service"]]
+        rows += [{"table": "servers", "key": name, "value": None} for name in removed]
+        await self.write(*rows)
+
+    async def start_entry(
+        self, failure_domain: str, name: str = "", ready: bool = True, **settings: object
+    ) -> str:
+        """Start an entry and return its name."""
+        name = name or f"entry-{len(self.entries)}"
+        listen, admin, control, peer = (free_port() for _ in range(4))
+        path = self.directory / f"{name}.json"
+        seeds = [f"127.0.0.1:{entry.listed['control']}" for entry in self.entries.values()]
+        path.write_bytes(
+            msgspec.json.encode(
+                {
+                    "node-id": name,
+                    "ip": "127.0.0.1",
+                    "zone": failure_domain,
+                    "region": "omaheke",
+                    "zones": dict.fromkeys(FAILURE_DOMAINS, "omaheke"),
+                    "listen": {
+                        "front": f"127.0.0.1:{listen}",
+                        "ready": f"127.0.0.1:{admin}",
+                        "control": f"127.0.0.1:{control}",
+                    },
+                    "internal-ports": [peer, peer],
+                    "seed-nodes": seeds[-3:],
+                    "platform": {"address": f"127.0.0.1:{self.platform_port}"},
+                    "bounds": BOUNDS,
+                    **settings,
+                }
+            )
+        )
+        environment = os.environ | {"CACTUSVANE_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
+        process = self.spawn(name, listen, ("platform/serve.py",), environment)
+        process.admin = admin
+        process.listed = {"control": control}
+        self.entries[name] = process
+        if ready:
+            await self.answers(name, admin, "/ready")
+            self.in_balancer[name] = listen
+        return name
+
+    def callers(self, seed: int, leave_share: float = 0.0) -> Callers:
+        """Return callers that use this fleet's ready entries."""
+        return PlatformCallers(lambda: self.in_balancer, seed, leave_share)
+
+
+def target_row(vm: dict[str, object]) -> dict[str, object]:
+    """Return the row that a target writes."""
+    address = msgspec.convert(vm["address"], dict[str, object])
+    state = "draining" if vm.get("state") == "leaving" else "ready"
+    info = {"service": vm["service"], "zone": vm["failure_domain"], "max-concurrency": 4}
+    value = {
+        "address": f"{address['host']}:{address['port']}",
+        "info": info,
+        "status": {"state": state, "sequence": 1, "warmup-left-ms": 0},
+        "born": 1,
+    }
+    return {"table": "servers", "key": vm["name"], "value": msgspec.json.encode(value).decode()}
+
+
+class PlatformChaos(Chaos):
+    """Adds the faults that only the users' platform has."""
+
+    running: PlatformFleet
+
+    async def forget_history(self) -> None:
+        """Let the store drop its history."""
+        await self.platform(forget=True)
+
+    async def lapse(self) -> None:
+        """Let rows of live targets vanish in an outage of the store and come back after it."""
+        name = self.some(self.running.targets, 2)
+        if name is None:
+            return
+        listed = self.running.targets[name].listed
+        with suppress(OSError, TimeoutError):
+            await self.platform(down=True)
+            await self.running.register(removed=(name,))
+            await self.hold()
+            await self.platform()
+            await self.running.register(listed)
+        self.busy.discard(name)
+
+    async def change_configuration(self) -> None:
+        """Publish versions in quick succession."""
+        with suppress(OSError, TimeoutError):
+            for _ in range(self.random.randint(1, 5)):
+                await self.running.configure()
+                await asyncio.sleep(0.1)
+
+    async def reload_settings(self) -> None:
+        """Tell an entry that its settings changed."""
+        names = [name for name, entry in self.running.entries.items() if entry.alive()]
+        self.process(self.random.choice(names)).send(signal.SIGHUP)
+
+    async def kill_all(self) -> None:
+        """Kill all entries at once and start as many."""
+        names = [name for name, entry in self.running.entries.items() if entry.alive()]
+        names = [name for name in names if name not in self.busy]
+        for name in names:
+            self.running.kill(name)
+            self.running.in_balancer.pop(name, None)
+        await asyncio.gather(*(self.new_entry() for _ in names))
+
+    def process(self, name: str) -> Process:
+        """Return a process by its name."""
+        return self.running.processes[name]
+
+
+PLATFORM_FAULTS = (
+    *("kill_entry", "freeze_entry", "stop_entry", "kill_all", "reload_settings"),
+    *("platform_down", "platform_slow", "lose_answers", "freeze_platform"),
+    *("forget_history", "lapse", "change_configuration"),
+    *("freeze_target", "kill_target", "gray_target", "wrong_answers", "leave_by_list"),
+    *("cut_up", "cut_down", "cut_answers"),
+)
--- a/tests/adapter/store_standin.py
+++ b/tests/adapter/store_standin.py
@@ -1,7 +1,13 @@
-"""A stand-in of the platform's store: rows over HTTP, with faults, written from its pages."""
+"""A stand-in of the platform's store: rows over HTTP, with faults, written from its pages.
 
+``python -m tests.adapter.store_standin --port 8384``: ``POST /_control/faults`` changes members of
+`StoreFaults`, ``POST /_control/rows`` takes what operators and targets write, fault or not.
+"""
+
+import argparse
 import asyncio
 import base64
+from dataclasses import dataclass, replace
 from urllib.parse import parse_qs
 
 import msgspec
@@ -15,6 +21,41 @@
 LIMIT = 3
 """Rows of one answer; small, so that tests meet answers in parts."""
 
+CONTROL = "_control/"
+LOST_SECONDS = 60.0
+"""How long a call whose answer is lost stays open."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFaults:
+    """What goes wrong at the store.
+
+    Parameters
+    ----------
+    down
+        Every call gets 503.
+    slow_ms
+        Delay before each answer.
+    lose_answers
+        How many of the next writes take effect without an answer.
+    forget
+        Whether the history up to now is dropped.
+    """
+
+    down: bool = False
+    slow_ms: float = 0.0
+    lose_answers: int = 0
+    forget: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ControlRow:
+    """A row that an operator or a target writes; without a value it is removed."""
+
+    table: str
+    key: str
+    value: str | None
+
 
 class StoreStandin:
     """Holds rows by table, part and key; `status` answers every call while it is set."""
@@ -26,10 +67,11 @@
         self.status = 0
         self.calls: list[str] = []
         self.changed = asyncio.Event()
+        self.faults = StoreFaults()
         self.server = Server(HttpLimits(), self.handle)
 
-    async def start(self) -> Address:
-        return await self.server.start(Address("127.0.0.1", 0))
+    async def start(self, port: int = 0) -> Address:
+        return await self.server.start(Address("127.0.0.1", port))
 
     def put(self, table: str, key: str, value: bytes | None, part: str = "") -> None:
         self.ver += 1
@@ -39,9 +81,13 @@
 
     async def handle(self, request: Request, caller: Caller) -> Answer:
         call = request.path.removeprefix("/")
+        if call.startswith(CONTROL):
+            return self.control(call.removeprefix(CONTROL), request.body)
         self.calls.append(call)
-        if self.status:
-            return Answer(self.status)
+        if self.faults.slow_ms:
+            await asyncio.sleep(self.faults.slow_ms / 1_000)
+        if self.status or self.faults.down:
+            return Answer(self.status or 503)
         query = {
             key: values[0] for key, values in parse_qs(request.target.partition("?")[2]).items()
         }
@@ -51,9 +97,21 @@
             case "rows-feed":
                 return await self.feed(query)
             case "rows-tx":
-                return self.write(request)
+                return await self.write(request)
         return Answer(404)
 
+    def control(self, call: str, body: bytes) -> Answer:
+        match call:
+            case "faults":
+                self.faults = msgspec.json.decode(body, type=StoreFaults)
+                if self.faults.forget:
+                    self.oldest = self.ver
+            case "rows":
+                for row in msgspec.json.decode(body, type=list[ControlRow]):
+                    value = None if row.value is None else row.value.encode()
+                    self.put(row.table, row.key, value)
+        return Answer(200)
+
     def get(self, query: dict[str, str]) -> Answer:
         part, first = query.get("part", ""), query.get("from", "")
         found = [
@@ -90,12 +148,27 @@
             return row | {"removed": True}
         return row | {"value": base64.b64encode(value).decode()}
 
-    def write(self, request: Request) -> Answer:
+    async def write(self, request: Request) -> Answer:
         body = msgspec.json.decode(request.body)
         for row in body["upsert-rows"]:
             self.put(row["table"], row["key"], base64.b64decode(row["value"]), row["part"])
+        if self.faults.lose_answers:
+            self.faults = replace(self.faults, lose_answers=self.faults.lose_answers - 1)
+            await asyncio.sleep(LOST_SECONDS)
         return self.answer(rows=[], more=False)
 
     def answer(self, rows: list[dict[str, object]], more: bool) -> Answer:
         body = {"rows": rows, "has-more": more, "ver": self.ver, "now-ms": 1}
         return Answer(200, ((b"content-type", b"application/json"),), msgspec.json.encode(body))
+
+
+async def serve(port: int) -> None:
+    """Serve until killed."""
+    await StoreStandin().start(port)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    asyncio.run(serve(parser.parse_args().port))
--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -258,7 +258,7 @@
         leaves = draws.random() < self.leave_share
         if leaves:
             patience = draws.random() * 0.04
-        headers = {"Host": call.kind.host, "Request-Id": call.request_id}
+        headers = {"Host": call.kind.host, **self.fields(call)}
         if call.key:
             headers["Idempotency-Key"] = call.key
         if call.first:
@@ -277,6 +277,10 @@
         wire.close()
         return None
 
+    def fields(self, call: Call) -> dict[str, str]:
+        """Return the header fields that tell what a call is."""
+        return {"Request-Id": call.request_id}
+
     def judge(self, call: Call, reply: Reply) -> None:
         """Write down what the caller knows after an answer."""
         call.status = reply.status
--- a/tests/processes/chaos.py
+++ b/tests/processes/chaos.py
@@ -6,10 +6,9 @@
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
-from typing import Any
+from typing import Any, Protocol
 
 from tests.processes.harness import Fleet
-from tests.processes.services import ServiceFile
 from tests.processes.verdicts import Disturbance
 
 Fault = Callable[[], Coroutine[Any, Any, None]]
@@ -27,6 +26,18 @@
 }
 
 
+class Service(Protocol):
+    """What chaos needs of a service."""
+
+    @property
+    def name(self) -> str:
+        """Its name."""
+
+    @property
+    def slots(self) -> int:
+        """Requests that a target runs at once."""
+
+
 class Chaos:
     """Draws faults and keeps the fleet at its size.
 
@@ -47,7 +58,7 @@
     def __init__(
         self,
         running: Fleet,
-        services: tuple[ServiceFile, ...],
+        services: tuple[Service, ...],
         seed: int,
         faults: tuple[str, ...],
         gap_seconds: float = 0.8,
--- a/tests/processes/harness.py
+++ b/tests/processes/harness.py
@@ -9,10 +9,11 @@
 import sys
 import time
 from collections.abc import AsyncIterator, Iterator
-from contextlib import asynccontextmanager, contextmanager, suppress
+from contextlib import AbstractAsyncContextManager, asynccontextmanager, contextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from typing import TypeVar
 
 import msgspec
 
@@ -27,6 +28,7 @@
 BALANCER_SECONDS = 0.5
 
 Completed = subprocess.CompletedProcess[str]
+AnyFleet = TypeVar("AnyFleet", bound="Fleet")
 
 taken_ports: set[int] = set()
 port_draws = random.Random(os.getpid())
@@ -70,6 +72,9 @@
 class Fleet:
     """A platform, targets and entries on loopback, for one test or one run of a script."""
 
+    target_module = "standins.target"
+    """Module of the targets' program."""
+
     def __init__(self, directory: Path) -> None:
         self.directory = directory
         self.processes: dict[str, Process] = {}
@@ -83,11 +88,18 @@
 
     def start(self, name: str, port: int, *arguments: str) -> Process:
         """Start ``python -m arguments`` with its output in a file."""
+        return self.spawn(name, port, ("-m", *arguments), dict(os.environ))
+
+    def spawn(
+        self, name: str, port: int, arguments: tuple[str, ...], environment: dict[str, str]
+    ) -> Process:
+        """Start ``python arguments`` with its output in a file."""
         log = self.directory / f"{name}.log"
         with log.open("wb") as output:
             popen = subprocess.Popen(
-                [sys.executable, "-m", *arguments],
+                [sys.executable, *arguments],
                 cwd=ROOT,
+                env=environment,
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
@@ -126,9 +138,9 @@
         process = self.start(
             name,
             port,
-            *("standins.target", "--port", str(port), "--service", service),
+            *(self.target_module, "--port", str(port), "--service", service),
             *("--slots", str(slots), "--mean-ms", str(mean_ms), "--cold-ms", str(cold_ms)),
-            *("--seed", str(len(self.targets))),
+            *("--seed", str(len(self.targets)), "--name", name),
             *("--ledger", str(self.directory / f"{name}.ledger")),
         )
         self.targets[name] = process
@@ -323,11 +335,16 @@
     }
 
 
+def fleet() -> AbstractAsyncContextManager[Fleet]:
+    """Give a fleet of daemons; its processes and files are gone at the end of the block."""
+    return fleet_of(Fleet)
+
+
 @asynccontextmanager
-async def fleet() -> AsyncIterator[Fleet]:
-    """Give a fleet whose processes and files are gone at the end of the block."""
+async def fleet_of(make: type[AnyFleet]) -> AsyncIterator[AnyFleet]:
+    """Give a fleet of any kind; its processes and files are gone at the end of the block."""
     with TemporaryDirectory(prefix="cactusvane-") as directory:
-        running = Fleet(Path(directory))
+        running = make(Path(directory))
         try:
             yield running
         finally:
