Refuse large heads in one piece, announced bodies beyond the limit, and folded lines

Cause: h11 bounds only a head that is still incomplete; one field of 100 KB or thousands of short ones went through when they arrived at once, a body announced beyond the limit was waited for until 408, and folded header lines were joined. Change: the size of a parsed head and its content-length are checked, lines are looked at before h11 joins them. A chunk announced beyond the limit is still read up to it. Tests: six new cases, all of which fail on the code before, and one body that looks like a folded line.

--- a/cactusvane/http/check.py
+++ b/cactusvane/http/check.py
@@ -6,6 +6,7 @@
 
 from cactusvane.errors import RequestError
 from cactusvane.http.message import find_header
+from cactusvane.settings import HttpLimits
 from cactusvane.verdict import Verdict
 
 AMBIGUOUS_ESCAPE = re.compile(
@@ -21,20 +22,48 @@
     return RequestError(status, code, text, Verdict.NOT_RUN)
 
 
-def check_head(head: h11.Request) -> None:
-    """Refuse a head that two programs could read in two ways.
+HEAD_END = b"\r\n\r\n"
+FOLDED_LINE = re.compile(rb"\n[ \t]")
+"""A header line that goes on in the next one, which RFC 9112 (5.2) lets servers refuse."""
+
+LINE_BYTES = 4
+"""Colon, space and line end of a header line, at the usual spelling."""
+
+
+def check_lines(data: bytes) -> None:
+    """Refuse a head with folded lines, which h11 would join.
+
+    Parameters
+    ----------
+    data
+        What has arrived of a request, from the first byte of its head.
+
+    Raises
+    ------
+    RequestError
+        Status 400.
+    """
+    if FOLDED_LINE.search(data.partition(HEAD_END)[0]):
+        raise bad_request("folded-line", "a header line goes on in the next one")
+
+
+def check_head(head: h11.Request, limits: HttpLimits) -> None:
+    """Refuse a head that two programs could read in two ways, and what is too large.
 
     Parameters
     ----------
     head
         As parsed by h11, which refuses bad syntax and conflicting lengths itself.
+    limits
+        Bounds on what a caller may send.
 
     Raises
     ------
     RequestError
-        Status 400.
+        Status 400, 413 or 431.
     """
     headers = list(head.headers)
+    check_size(head, limits)
     length = find_header(headers, b"content-length")
     coding = find_header(headers, b"transfer-encoding")
     if length is not None and coding is not None:
@@ -44,6 +73,31 @@
     check_target(head.target.decode("latin-1"))
 
 
+def check_size(head: h11.Request, limits: HttpLimits) -> None:
+    """Refuse a head that is too large, also where it arrived in one piece, or an announced body.
+
+    Raises
+    ------
+    RequestError
+        Status 413 or 431.
+    """
+    size = len(head.target) + sum(
+        len(name) + len(value) + LINE_BYTES for name, value in head.headers
+    )
+    if size > limits.head_bytes:
+        text = f"the head is larger than {limits.head_bytes} bytes"
+        raise bad_request("head-too-large", text, 431)
+    length = find_header(head.headers, b"content-length")
+    if length is not None and int(length) > limits.body_bytes:
+        raise body_too_large(limits)
+
+
+def body_too_large(limits: HttpLimits) -> RequestError:
+    """Return the error for a body beyond the limit."""
+    text = f"the body is larger than {limits.body_bytes} bytes"
+    return bad_request("body-too-large", text, 413)
+
+
 def check_target(target: str) -> None:
     """Refuse a target whose path could match one route here and another at the target.
 
--- a/cactusvane/http/server.py
+++ b/cactusvane/http/server.py
@@ -13,7 +13,7 @@
 from cactusvane.errors import BrokenAnswerError, RequestError
 from cactusvane.events import Event
 from cactusvane.fleet.vm import Address
-from cactusvane.http.check import bad_request, check_head
+from cactusvane.http.check import bad_request, body_too_large, check_head, check_lines
 from cactusvane.http.exchange import PIPELINED_METHODS, Caller, Exchange
 from cactusvane.http.message import Answer, BodyStream, Request
 from cactusvane.http.refusal import refusal
@@ -235,6 +235,8 @@
             self.reading_head = True
             self.set_timer(self.limits.head_ms, self.time_out_head)
         try:
+            if reading.head is None:
+                check_lines(reading.parser.trailing_data[0])
             while self.take(self.reading.parser.next_event()):
                 pass
         except h11.RemoteProtocolError as error:
@@ -268,7 +270,7 @@
         """Check the head and wait for the body."""
         self.reading.head = head
         self.reading_head = False
-        check_head(head)
+        check_head(head, self.limits)
         if not self.may_run(head):
             self.set_timer(0, None)
             return
@@ -282,8 +284,7 @@
         reading = self.reading
         reading.size += len(data)
         if reading.size > self.limits.body_bytes:
-            text = f"the body is larger than {self.limits.body_bytes} bytes"
-            raise bad_request("body-too-large", text, 413)
+            raise body_too_large(self.limits)
         reading.parts.append(data)
 
     def dispatch(self) -> None:
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -72,7 +72,13 @@
         (b"GET /a%2fb HTTP/1.1\r\nhost: a\r\n\r\n", 400),
         (b"GET http://a/b HTTP/1.1\r\nhost: a\r\n\r\n", 400),
         (b"GET /a HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 5_000, 431),
+        (b"GET /a HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 5_000 + b"\r\n\r\n", 431),
+        (b"GET /a HTTP/1.1\r\nhost: a\r\n" + b"x: y\r\n" * 600 + b"\r\n", 431),
+        (b"GET /" + b"a" * 3_000 + b" HTTP/1.1\r\nhost: a\r\n\r\n", 431),
+        (b"GET /a HTTP/1.1\r\nhost: a\r\nx: y\r\n z\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\nhost: a\r\nx: y\r\n\tz\r\n\r\n", 400),
         (b"POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 5000\r\n\r\n" + b"y" * 5_000, 413),
+        (b"POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 5000\r\n\r\n", 413),
         (b"GET /slow HTTP/1.1\r\nhost:", 408),
         (b"POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nabc", 408),
         (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc", 400),
@@ -85,6 +91,12 @@
     assert b'"verdict":"not-run"' in reply
 
 
+def test_a_body_may_look_like_a_folded_line() -> None:
+    body = b"a\r\n b\r\n\r\n"
+    head = b"POST /a HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: %d\r\n\r\n"
+    assert say(head % len(body) + body).endswith(body)
+
+
 def test_internal_error_shows_no_traceback() -> None:
     async def fail(request: Request, caller: Caller) -> Answer:
         raise ValueError("secret")
