Tell what was spent of the retries only after a retry, and each second

Change: counts go out after a retry and each second besides; requests that the others do not know of yet only make them careful.

--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -5,7 +5,7 @@
 """
 
 from dataclasses import dataclass, replace
-from math import ceil
+from math import ceil, inf
 from random import Random
 
 import xxhash
@@ -24,6 +24,9 @@
 """An entry that was not heard for so long gets no more notices."""
 
 
+SPENT_MS = 1_000.0
+"""How often an entry tells its requests; with too few of them the others are only too careful."""
+
 MOST_GROUP = 64
 """Entries that share loads with each other; a larger failure domain falls into groups."""
 
@@ -101,6 +104,8 @@
         self.peers: dict[str, Peer] = {}
         self.unsent: list[Observation] = []
         self.number = 0
+        self.retried = False
+        self.spent_told_at = -inf
 
     def configure(self, configuration: Configuration, now: float) -> None:
         """Hold a placement for each service; what is known of services that stay is kept."""
@@ -112,7 +117,8 @@
                 placement = Placement(self.failure_domain, self.random, self.settings)
             self.placements[service.name] = placement
         self.retries = {
-            name: self.retries.get(name) or SharedRetries(self.limit, now, self.heard_share)
+            name: self.retries.get(name)
+            or SharedRetries(self.limit, now, self.heard_share, self.note_retry)
             for name in self.placements
         }
         self.list_targets(self.listed, now)
@@ -149,13 +155,18 @@
             if placement is not None:
                 placement.targets[name].used_at = now
 
-    def note_spending(self, notice: Notice, last: Notice | None, now: float) -> None:
+    def note_spending(self, notice: Notice, now: float) -> None:
         """Note what another entry spent of the retries, by service."""
-        before = last.spent if last is not None and last.started == notice.started else {}
-        for service in before.keys() | notice.spent.keys():
+        if notice.spent is None:
+            return
+        for service, spending in notice.spent.items():
             retries = self.retries.get(service)
             if retries is not None:
-                retries.hear(notice.sender, notice.started, notice.spent.get(service), now)
+                retries.hear(notice.sender, notice.started, spending, now)
+
+    def note_retry(self) -> None:
+        """Note that the others have to hear of a retry."""
+        self.retried = True
 
     def heard_share(self, now: float) -> float:
         """Return the share of the failure domain's entries that are heard, with this one."""
@@ -192,7 +203,7 @@
         peer.heard = now
         self.add_load(notice, 1)
         self.note_use(notice, now)
-        self.note_spending(notice, last, now)
+        self.note_spending(notice, now)
         for seen in notice.seen:
             placement = self.by_target.get(seen.target)
             if placement is not None:
@@ -230,8 +241,15 @@
         """Keep an observation for the next notice."""
         self.unsent.append(seen)
 
-    def spent(self, now: float) -> dict[str, Spending]:
-        """Return what this entry had in the latest window, for services with any request."""
+    def spent(self, now: float) -> dict[str, Spending] | None:
+        """Return what this entry had in the latest window, for services with any request.
+
+        None where the others know it well enough.
+        """
+        if not self.retried and now - self.spent_told_at < SPENT_MS:
+            return None
+        self.retried = False
+        self.spent_told_at = now
         totals = {name: retries.own.total(now) for name, retries in self.retries.items()}
         return {name: total for name, total in totals.items() if total.requests or total.retries}
 
--- a/cactusvane/placement/messages.py
+++ b/cactusvane/placement/messages.py
@@ -1,6 +1,6 @@
 """What placement is asked, what it answers, and what entries tell each other."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from cactusvane.fleet.vm import Address
 from cactusvane.outcome import Outcome
@@ -153,7 +153,8 @@
     seen
         What attempts showed since the last notice.
     spent
-        Its requests and retries within the latest window, by service.
+        Its requests and retries within the latest window, by service; None where the last notice
+        that tells them still holds.
     """
 
     sender: str
@@ -162,4 +163,4 @@
     reading: Reading
     in_flight: dict[str, int]
     seen: tuple[Observation, ...] = ()
-    spent: dict[str, Spending] = field(default_factory=dict)
+    spent: dict[str, Spending] | None = None
--- a/cactusvane/placement/retries.py
+++ b/cactusvane/placement/retries.py
@@ -119,12 +119,19 @@
     heard_share
         Returns the share of the failure domain's entries that are heard, this one among them;
         the others may be at work elsewhere and keep their part of `extra`.
+    on_retry
+        Called when a retry was taken.
     """
 
     def __init__(
-        self, limit: RetryLimit, since: float, heard_share: Callable[[float], float]
+        self,
+        limit: RetryLimit,
+        since: float,
+        heard_share: Callable[[float], float],
+        on_retry: Callable[[], None] = lambda: None,
     ) -> None:
         self.limit = limit
+        self.on_retry = on_retry
         self.since = since
         self.heard_share = heard_share
         self.own = SpendingWindow(limit.window_ms)
@@ -139,6 +146,7 @@
         if self.left(now) < 1.0:
             return False
         self.own.add(0, 1, now)
+        self.on_retry()
         return True
 
     def left(self, now: float) -> float:
@@ -156,15 +164,12 @@
         known = min(1.0, max(LEAST_EXTRA, (now - self.since) / limit.window_ms))
         return limit.extra / limit.domains * self.heard_share(now) * known
 
-    def hear(self, sender: str, started: int, spending: Spending | None, now: float) -> None:
-        """Take in what another entry spent; None for nothing within the window.
+    def hear(self, sender: str, started: int, spending: Spending, now: float) -> None:
+        """Take in what another entry spent.
 
         What a process spent before it was started again stays until its window has passed.
         """
-        if spending is None:
-            self.reports.pop((sender, started), None)
-        else:
-            self.reports[sender, started] = Report(spending, now)
+        self.reports[sender, started] = Report(spending, now)
 
     def expire(self, now: float) -> None:
         """Drop reports that are older than the window."""
