--- a/tests/processes/chaos.py
+++ b/tests/processes/chaos.py
@@ -85,8 +85,13 @@
         await asyncio.gather(*self.tasks)
 
     def some(self, names: dict[str, Any], least: int = 1) -> str | None:
-        """Draw a process that runs and that no fault holds, or None if too few are left."""
-        free = [n for n in names if self.running.processes[n].alive() and n not in self.busy]
+        """Draw a process that runs and that no fault holds, or None if too few are left.
+
+        One that is not listed yet is only just starting.
+        """
+        processes = self.running.processes
+        listed = [n for n in names if processes[n].alive() and processes[n].listed]
+        free = [n for n in listed if n not in self.busy]
         if len(free) <= least:
             return None
         name = self.random.choice(free)
