Break no attempt off early while the process stops

Change: while a process stops, work under way goes on to the request's own time. Test: two hanging targets and a process told to stop ran the request twice before.

--- a/cactusvane/daemon.py
+++ b/cactusvane/daemon.py
@@ -247,6 +247,7 @@
         """Finish what is in flight and close."""
         events.write(Event.DAEMON_DRAINING, vm=self.settings.vm)
         self.server.leave()
+        self.entry.leaving = True
         await asyncio.sleep(self.settings.leaving_ms / MS_PER_SECOND)
         await self.server.drain(self.settings.drain_ms)
         await self.claims.drain(CLAIMS_DRAIN_MS)
--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -339,8 +339,15 @@
             timer.cancel()
 
     def break_off(self, limit: asyncio.Timeout) -> None:
-        """End an attempt before its time if another one may follow at another target."""
-        if limit.expired() or not self.admission.has_room(self.demand, self.tried):
+        """End an attempt before its time if another one may follow at another target.
+
+        While this process stops, work under way is left to end: another attempt may fail.
+        """
+        if (
+            limit.expired()
+            or self.entry.leaving
+            or not self.admission.has_room(self.demand, self.tried)
+        ):
             return
         if self.attempts.reserve_retry(self.clock.now()):
             limit.reschedule(asyncio.get_running_loop().time())
--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -55,6 +55,11 @@
         To targets.
     vocabulary
         Names of the header fields that targets know.
+
+    Attributes
+    ----------
+    leaving
+        Whether the process stops, and finishes what is in flight.
     """
 
     def __init__(
@@ -77,6 +82,7 @@
         self.keyed: KeyedHandler | None = None
         self.ledger = Ledger(settings.vm)
         self.configured = False
+        self.leaving = False
         self.version = 0
         self.table = RoutingTable(Configuration())
         self.rules = build_table(())
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -352,6 +352,27 @@
     play(scenario)
 
 
+@pytest.mark.parametrize(("stops", "runs"), [(False, 2), (True, 1)])
+def test_while_a_process_stops_no_attempt_is_broken_off_early(stops: bool, runs: int) -> None:
+    """A second attempt that fails would leave an answer of our own for work that was under way."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.configure(**{"timeout-ms": 800})
+        fleet.list_targets()
+        process = await fleet.start_process("e1")
+        await until(lambda: process.ready)
+        for target in fleet.targets:
+            target.reply = "hang"
+        asking = asyncio.ensure_future(ask(process))
+        await until(lambda: any(target.ran for target in fleet.targets))
+        if stops:
+            process.stopping.set()
+        assert (await asking).status == 504
+        assert sum(len(target.ran) for target in fleet.targets) == runs
+
+    play(scenario)
+
+
 def test_a_caller_that_leaves_cancels_what_may_run_again_and_nothing_else() -> None:
     async def scenario(fleet: Fleet) -> None:
         process = await serving(fleet)
