Soak: callers fall back to entries that are not ready, and requests denied by mistake are found

Cause: a mutation that answers 404 without a configuration was not seen, since callers used ready entries alone. Now they use all while none is ready, as the users' balancer does, and a 4xx of ours for a proper request is a finding.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -46,6 +46,12 @@
 PATIENCE_SECONDS = 8.0
 TARGETS = 5
 FLOOR = 3
+CALLERS_FAULT = range(400, 500)
+"""Statuses that say a request itself is wrong."""
+
+MAY_RETRY = frozenset({408, 421, 429})
+"""Those that only ask callers to come back."""
+
 LEAVE_SHARE = 0.03
 
 
@@ -59,17 +65,19 @@
     bookings: int = 0
     sure: int = 0
     late_work: int = 0
+    denied: int = 0
     findings: list[str] = field(default_factory=list)
 
     def good(self) -> bool:
         """Say whether no promise was broken."""
-        return self.verdicts.good() and not self.late_work
+        return self.verdicts.good() and not self.late_work and not self.denied
 
     def to_json(self) -> str:
         """Return the last line."""
         values = {
             **msgspec.to_builtins(self.verdicts),
             "late_work": self.late_work,
+            "denied": self.denied,
             "bookings": self.bookings,
             "bookings_sure": self.sure,
             "faults": dict(sorted(self.faults.items())),
@@ -163,13 +171,29 @@
     stopped = cut(calls, ledgers, running.stops, running.disturbances)
     findings += [f"cut by a planned stop: {call}" for call in stopped]
     findings += late
+    denied = [call for call in calls if is_denied(call)]
+    findings += [f"denied: {call}" for call in denied]
     findings += [f"foreign: {call}" for call in calls if call.told is Told.FOREIGN]
     bookings: dict[str, list[Call]] = {}
     for call in calls:
         if call.key.startswith("booking-"):
             bookings.setdefault(call.key, []).append(call)
     sure = sum(is_sure(group) for group in bookings.values())
-    return Soaked(verdicts, calls, chaos.injected, len(bookings), sure, len(late), findings)
+    return Soaked(
+        verdicts,
+        calls,
+        chaos.injected,
+        bookings=len(bookings),
+        sure=sure,
+        late_work=len(late),
+        denied=len(denied),
+        findings=findings,
+    )
+
+
+def is_denied(call: Call) -> bool:
+    """Say whether a proper request was refused as if it were none."""
+    return call.status in CALLERS_FAULT and call.status not in MAY_RETRY and not call.key
 
 
 def had_time(running: Fleet, call: Call, line: LedgerLine, stop: PlannedStop) -> bool:
--- a/tests/adapter/fleet.py
+++ b/tests/adapter/fleet.py
@@ -156,7 +156,12 @@
 
     def callers(self, seed: int, leave_share: float = 0.0) -> Callers:
         """Return callers that use this fleet's ready entries."""
-        return PlatformCallers(lambda: self.in_balancer, seed, leave_share)
+        return PlatformCallers(self.reachable, seed, leave_share)
+
+    def reachable(self) -> dict[str, int]:
+        """Return the entries that get callers: the ready ones, or all while none is ready."""
+        alive = {name: entry.port for name, entry in self.entries.items() if entry.alive()}
+        return self.in_balancer or alive
 
 
 def target_row(vm: dict[str, object]) -> dict[str, object]:
