--- a/bench/load.py
+++ b/bench/load.py
@@ -258,7 +258,7 @@
     targets: list[Target]
     entries: list[SharedEntry] = field(default_factory=list)
     by_name: dict[str, Target] = field(default_factory=dict)
-    tally: Tally = field(default_factory=lambda: Tally())
+    tally: Tally = field(default_factory=Tally)
 
 
 MakeEntry = Callable[[Fleet, str, str], SharedEntry]
