--- a/tests/adapter/fleet.py
+++ b/tests/adapter/fleet.py
@@ -5,6 +5,7 @@
 import signal
 from contextlib import suppress
 from dataclasses import dataclass
+from pathlib import Path
 
 import msgspec
 
@@ -68,8 +69,8 @@
 
     target_module = "tests.adapter.target_standin"
 
-    def __init__(self, directory: object) -> None:
-        super().__init__(directory)  # type: ignore[arg-type]
+    def __init__(self, directory: Path) -> None:
+        super().__init__(directory)
         self.version = 0
 
     async def start_platform(self) -> None:
