Pass notices on through one relay of a failure domain

Change: an entry tells the first one heard, in an order by hash of names, which passes on in rounds of 30 ms what is news to it. Each notice goes out in two rounds; one that does not come back is told again, and a relay that stays silent for 300 ms rests. Messages carry no field names any more. Groups of large domains are a power of two, and entries of other groups are not forgotten.

--- /dev/null
+++ b/bench/relaying.py
@@ -0,0 +1,296 @@
+"""How old loads are that entries of one failure domain decide by: ``make bench-relaying``.
+
+Entries tell each other of their requests over datagrams that take time and get lost, on a virtual
+clock. The last line is one JSON object.
+"""
+
+from __future__ import annotations
+
+import heapq
+import json
+import time
+from bisect import bisect_left
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+
+from cactusvane.configuration.model import Configuration, Service
+from cactusvane.fleet.vm import Address, Vm
+from cactusvane.outcome import Outcome
+from cactusvane.placement.domain import Domain, count_groups
+from cactusvane.placement.messages import Message, Observation, Reading
+from cactusvane.placement.notices import ENCODER
+from cactusvane.placement.relaying import Relaying
+
+REQUESTS_PER_S = 2.4
+"""Requests of one entry."""
+
+WORK_MS = 450.0
+TRIP_MS = 0.3
+TARGETS = 48
+READING = Reading(True, 0.0, None, {})
+SERVICE = Service("s", (), (), 1, 1, 1)
+WARM_UP_MS = 1_500.0
+PROBE_MS = 10.0
+"""How often a random entry is asked how old what it knows of another one is."""
+
+
+@dataclass(slots=True)
+class Node:
+    """One entry: its decisions, whether it runs, and what it can reach."""
+
+    name: str
+    address: Address
+    relaying: Relaying
+    domain: Domain
+    running: bool = True
+    sent: int = 0
+    taken: int = 0
+    taken_bytes: int = 0
+    timer_at: float = 0.0
+    changes: list[tuple[float, int]] = field(default_factory=list)
+    """When its loads changed, and the number of the first notice that tells it."""
+
+
+@dataclass(slots=True)
+class Network:
+    """Entries, datagrams and a clock.
+
+    Parameters
+    ----------
+    entries
+        In the failure domain.
+    random
+        Source of all random choices.
+    loss
+        Share of the datagrams that are lost.
+    """
+
+    entries: int
+    random: Random
+    loss: float = 0.0
+    now: float = 0.0
+    cut: set[tuple[str, str]] = field(default_factory=set)
+    """Ways, from one entry to another, that carry nothing."""
+
+    events: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
+    order: Iterator[int] = field(default_factory=count)
+    nodes: dict[str, Node] = field(default_factory=dict)
+    by_address: dict[Address, Node] = field(default_factory=dict)
+    doubled: float = 0.0
+    """Share of the datagrams that come twice, the second one late."""
+
+    serving: bool = True
+    """Whether new requests come."""
+
+    def __post_init__(self) -> None:
+        for number in range(self.entries):
+            self.add(f"e{number}", Address("10.0.0.1", 1_000 + number))
+        for node in self.nodes.values():
+            self.greet(node)
+
+    def add(self, name: str, address: Address) -> Node:
+        """Start an entry."""
+        domain = Domain(name, "d", int(self.now) + 1, self.random)
+        vms = tuple(
+            Vm(f"t{number}", Address("10.1.0.1", number + 1), "d", service="s", slots=4)
+            for number in range(TARGETS)
+        )
+        domain.list_targets({"s": vms}, self.now)
+        domain.configure(Configuration((SERVICE,)), self.now)
+        relaying = Relaying(domain, address, lambda: READING, self.now)
+        node = Node(name, address, relaying, domain)
+        self.nodes[name] = node
+        self.by_address[address] = node
+        self.after(self.random.uniform(0.0, 300.0), lambda: self.step(node))
+        return node
+
+    def greet(self, node: Node) -> None:
+        """Let an entry meet all others."""
+        for other in self.nodes.values():
+            if other is not node:
+                node.domain.meet(other.name, other.address, self.now)
+        for peer in node.domain.group().values():
+            node.relaying.greet(peer.address)
+
+    def after(self, delay: float, act: Callable[[], None]) -> None:
+        """Do something later."""
+        heapq.heappush(self.events, (self.now + delay, next(self.order), act))
+
+    def run(self, until: float) -> None:
+        """Let time pass."""
+        while self.events and self.events[0][0] <= until:
+            self.now, _, act = heapq.heappop(self.events)
+            act()
+        self.now = until
+
+    def is_node(self, node: Node) -> bool:
+        """Say whether this process of an entry runs."""
+        return node.running and self.nodes.get(node.name) is node
+
+    def step(self, node: Node) -> None:
+        """Let an entry send what is due."""
+        if not self.is_node(node) or self.now < node.timer_at:
+            return
+        node.domain.expire(self.now)
+        for outgoing in node.relaying.step(self.now):
+            self.send(node, outgoing.message, outgoing.to)
+        self.schedule(node)
+
+    def schedule(self, node: Node) -> None:
+        """Wake an entry when something is due."""
+        pause = max(1.0, node.relaying.next_at(self.now) - self.now)
+        node.timer_at = self.now + pause
+        self.after(pause, lambda: self.step(node))
+
+    def send(self, sender: Node, message: Message, to: tuple[Address, ...]) -> None:
+        """Carry a message to some entries."""
+        size = len(ENCODER.encode(message))
+        sender.sent += len(to)
+        for address in to:
+            node = self.by_address[address]
+            if (sender.name, node.name) in self.cut or self.random.random() < self.loss:
+                continue
+            delay = TRIP_MS + self.random.expovariate(2.0)
+            self.after(delay, lambda node=node: self.take(sender, node, message, size))  # type: ignore[misc]
+            if self.random.random() < self.doubled:
+                late = delay + self.random.uniform(1.0, 500.0)
+                self.after(late, lambda node=node: self.take(sender, node, message, size))  # type: ignore[misc]
+
+    def take(self, sender: Node, node: Node, message: Message, size: int) -> None:
+        """Hand a message to an entry."""
+        if not self.is_node(node):
+            return
+        node.taken += 1
+        node.taken_bytes += size
+        node.relaying.hear(message, sender.address, self.now)
+        self.schedule(node)
+
+    def serve(self, node: Node, mean_gap_ms: float) -> None:
+        """Let an entry send requests to targets, and then another one."""
+        if self.serving and self.is_node(node):
+            self.request(node, f"t{self.random.randrange(TARGETS)}")
+        gap = self.random.expovariate(1.0 / mean_gap_ms)
+        self.after(gap, lambda: self.serve(self.nodes[node.name], mean_gap_ms))
+
+    def request(self, node: Node, target: str, work_ms: float | None = None) -> None:
+        """Send one request to a target."""
+        node.domain.placements["s"].started(target, self.now)
+        self.changed(node)
+        work_ms = work_ms or self.random.expovariate(1.0 / WORK_MS)
+        self.after(work_ms, lambda: self.end(node, target))
+
+    def end(self, node: Node, target: str) -> None:
+        """Take in the end of a request."""
+        if not self.is_node(node):
+            return
+        seen = Observation(target, "read", Outcome.SERVED, WORK_MS)
+        node.domain.placements["s"].ended(seen, self.now)
+        node.domain.observe(seen)
+        self.changed(node)
+
+    def changed(self, node: Node) -> None:
+        """Note that an entry's loads changed, and let it tell."""
+        node.changes.append((self.now, node.domain.number + 1))
+        node.relaying.announce(False, self.now)
+        self.schedule(node)
+
+    def age(self, one: Node, other: Node) -> float:
+        """Return for how long one entry has not known a change at another one."""
+        peer = one.domain.peers.get(other.name)
+        known = 0 if peer is None or peer.notice is None else peer.notice.number
+        if peer is None or peer.notice is None or peer.notice.started != other.domain.started:
+            known = 0
+        at = bisect_left(other.changes, known + 1, key=lambda change: change[1])
+        return self.now - other.changes[at][0] if at < len(other.changes) else 0.0
+
+    def relays(self) -> set[str]:
+        """Return the entries that relay for others."""
+        return {node.relaying.relay for node in self.nodes.values() if node.running}
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """What was measured over some seconds.
+
+    Parameters
+    ----------
+    age_50_ms, age_99_ms
+        For how long an entry has not known a change at another one of its group.
+    ordinary_datagrams_per_s, relay_datagrams_per_s
+        Sent and taken by an ordinary entry at most, and by a relay.
+    taken_bytes_per_s
+        Taken by an ordinary entry.
+    entry_share
+        Processor time of an entry's decisions and encoding, on average, as a share of a core here.
+    """
+
+    age_50_ms: float
+    age_99_ms: float
+    ordinary_datagrams_per_s: float
+    relay_datagrams_per_s: float
+    taken_bytes_per_s: float
+    entry_share: float
+
+
+def measure(entries: int, loss: float, seconds: float = 10.0, seed: int = 1) -> Figures:
+    """Return the figures of a calm domain."""
+    random = Random(seed)
+    network = Network(entries, random, loss)
+    for node in network.nodes.values():
+        network.serve(node, 1_000.0 / REQUESTS_PER_S)
+    network.run(WARM_UP_MS)
+    for node in network.nodes.values():
+        node.sent = node.taken = node.taken_bytes = 0
+    ages: list[float] = []
+
+    def probe() -> None:
+        one, other = random.sample(list(network.nodes.values()), 2)
+        if other.name in one.domain.group():
+            ages.append(network.age(one, other))
+        network.after(PROBE_MS / entries, probe)
+
+    probe()
+    begun = time.process_time()
+    network.run(WARM_UP_MS + 1_000.0 * seconds)
+    taken = time.process_time() - begun
+    relays = network.relays()
+    ordinary = [node for node in network.nodes.values() if node.name not in relays]
+    chosen = [node for node in network.nodes.values() if node.name in relays]
+    taken_bytes = sum(node.taken_bytes for node in ordinary) / len(ordinary)
+    ages.sort()
+    traffic = [(node.sent + node.taken) / seconds for node in chosen]
+    return Figures(
+        age_50_ms=round(ages[len(ages) // 2], 1),
+        age_99_ms=round(ages[len(ages) * 99 // 100], 1),
+        ordinary_datagrams_per_s=round(
+            max(node.sent + node.taken for node in ordinary) / seconds, 1
+        ),
+        relay_datagrams_per_s=round(max(traffic), 1),
+        taken_bytes_per_s=round(taken_bytes / seconds),
+        entry_share=round(taken / seconds / entries, 5),
+    )
+
+
+CALM_LOSS = 0.0
+WORST_LOSS = 0.025
+SIZES = (16, 57, 300, 1_425)
+
+
+def main() -> None:
+    """Print the figures for some sizes."""
+    result = {}
+    for entries in SIZES:
+        for loss in (CALM_LOSS, WORST_LOSS):
+            seconds = 10.0 if entries < 1_000 else 2.0
+            figures = measure(entries, loss, seconds)
+            result[f"{entries}/{loss}"] = {
+                name: getattr(figures, name) for name in Figures.__dataclass_fields__
+            }
+            print(f"{entries:5} entries, {count_groups(entries):3} groups, loss {loss}: {figures}")
+    print(json.dumps(result))
+
+
+if __name__ == "__main__":
+    main()
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -19,7 +19,7 @@
 from cactusvane.events import Event
 from cactusvane.fleet.changes import log_changes
 from cactusvane.fleet.lapse import LapsedTargets
-from cactusvane.fleet.vm import Address, Vm
+from cactusvane.fleet.vm import Vm
 from cactusvane.following.decoder import TableDecoder, VersionedConfiguration
 from cactusvane.following.directory import EntryDirectory
 from cactusvane.following.exchange import (
@@ -40,9 +40,9 @@
 from cactusvane.http.server import Server
 from cactusvane.http.vocabulary import Vocabulary
 from cactusvane.metrics import Recorder
+from cactusvane.placement.announcer import Announcer
 from cactusvane.placement.domain import Domain
-from cactusvane.placement.messages import Notice, Reading
-from cactusvane.placement.notices import NoticeEndpoint
+from cactusvane.placement.messages import Notice, Passed, Reading
 from cactusvane.placement.placer import SharedPlacer
 from cactusvane.placement.retries import RetryLimit
 from cactusvane.settings import Settings
@@ -50,18 +50,6 @@
 CONFIGURATION_TABLE = "configuration"
 TARGETS_TABLE = "targets"
 
-BEAT_MS = 1_000.0
-"""How often an entry tells the others of itself without traffic."""
-
-GATHER_MS = 15.0
-"""How long ordinary news waits for more; a small part of what requests take at their targets."""
-
-DATAGRAMS_PER_S = 500.0
-"""Datagrams of one entry with ordinary news; about a hundredth of a core to send."""
-
-URGENT_MS = 2.0
-"""The same for news of a failure or of a table's change."""
-
 TICK_MS = 100.0
 """How often time passes in the decisions."""
 
@@ -137,7 +125,8 @@
         self.domain = Domain(
             settings.vm, settings.failure_domain, started, self.random, limit=fleet.retries
         )
-        self.placer = SharedPlacer(self.domain, self.clock, self.announce)
+        self.announcer = Announcer(self.domain, settings.peer, self.reading, self.heard, self.clock)
+        self.placer = SharedPlacer(self.domain, self.clock, self.announcer.announce)
         self.entry = Entry(
             settings,
             self.clock,
@@ -158,11 +147,10 @@
             self.domain,
             self.exchange,
             self.followers,
-            self.announce,
+            self.announcer.greet,
             self.clock,
         )
         self.lapsed = LapsedTargets()
-        self.notices = NoticeEndpoint(self.hear)
         self.server = Server(settings.http, self.entry.handle)
         self.admin = Server(settings.http, self.answer_admin)
         self.peer_server = Server(settings.http, self.answer_peer)
@@ -171,8 +159,6 @@
         self.stopping = asyncio.Event()
         self.ended = False
         self.was_ready = False
-        self.announcing: asyncio.TimerHandle | None = None
-        self.told_at = 0.0
         self.tasks: set[asyncio.Task[None]] = set()
 
     def follower(self, table: str, changed: Callable[[tuple[str, ...]], None]) -> TableFollower:
@@ -186,7 +172,7 @@
             self.fleet.follow,
         )
         follower.on_change = changed
-        follower.on_answer = partial(self.announce, urgent=False)
+        follower.on_answer = partial(self.announcer.announce, urgent=False)
         follower.should_read = self.should_read
         return follower
 
@@ -231,7 +217,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.read_settings)
-        await self.notices.start(self.settings.peer)
+        await self.announcer.start()
         await self.peer_server.start(self.settings.peer)
         await self.admin.start(self.settings.admin)
         address = await self.server.start(self.settings.listen)
@@ -262,7 +248,7 @@
         found = self.platform.decoder.configuration(rows)
         if found is not None and found.version > self.version:
             self.adopt(found)
-        self.announce(urgent=True)
+        self.announcer.announce(urgent=True)
 
     def adopt(self, found: VersionedConfiguration) -> None:
         """Put a configuration in force."""
@@ -275,7 +261,7 @@
     def targets_changed(self, keys: tuple[str, ...]) -> None:
         """Go by the table's targets."""
         self.list_targets()
-        self.announce(urgent=True)
+        self.announcer.announce(urgent=True)
         self.note_ready()
 
     def list_targets(self) -> None:
@@ -292,42 +278,18 @@
             self.was_ready = True
             events.write(Event.DAEMON_READY, vm=self.settings.vm, version=self.version)
 
-    def hear(self, notice: Notice, address: Address) -> None:
-        """Take in another entry's notice."""
-        if not self.domain.hear(notice, address, self.clock.now()):
-            return
-        for table, version in notice.reading.tables.items():
-            follower = self.followers.get(table)
-            if follower is not None and version > follower.copy.changed:
-                self.start(follower.catch_up(address, version))
-        if notice.reading.failure_age_ms is not None:
-            self.lapsed.failed(self.clock.now() - notice.reading.failure_age_ms)
+    def heard(self, news: list[Passed]) -> None:
+        """Go by what other entries told."""
+        for passed in news:
+            reading = passed.notice.reading
+            for table, version in reading.tables.items():
+                follower = self.followers.get(table)
+                if follower is not None and version > follower.copy.changed:
+                    self.start(follower.catch_up(passed.address, version))
+            if reading.failure_age_ms is not None:
+                self.lapsed.failed(self.clock.now() - reading.failure_age_ms)
         self.placer.wake()
 
-    def announce(self, urgent: bool) -> None:
-        """Tell the other entries soon, or at once where the news is urgent."""
-        if self.ended:
-            return
-        loop = asyncio.get_running_loop()
-        due = loop.time() + (URGENT_MS if urgent else self.gather_ms()) / MS_PER_SECOND
-        if self.announcing is not None:
-            if self.announcing.when() <= due:
-                return
-            self.announcing.cancel()
-        self.announcing = loop.call_at(due, self.tell)
-
-    def gather_ms(self) -> float:
-        """Return how long ordinary news waits, so that datagrams stay within their rate."""
-        gap = len(self.domain.peers) * MS_PER_SECOND / DATAGRAMS_PER_S
-        return max(GATHER_MS, self.told_at + gap - self.clock.now())
-
-    def tell(self) -> None:
-        """Tell the other entries of the failure domain now."""
-        self.announcing = None
-        self.told_at = self.clock.now()
-        notice = self.domain.next_notice(self.reading(), self.told_at)
-        self.notices.send(notice, self.domain.recipients())
-
     async def tick(self) -> None:
         """Let time pass."""
         while True:
@@ -335,8 +297,6 @@
             now = self.clock.now()
             self.entry.tick()
             self.watch_store(now)
-            if now - self.told_at >= BEAT_MS:
-                self.tell()
 
     def watch_store(self, now: float) -> None:
         """Note outages of the platform, and give up targets that did not come back after one."""
@@ -361,14 +321,14 @@
         events.write(Event.DAEMON_DRAINING, vm=self.settings.vm)
         self.server.leave()
         self.entry.leaving = True
-        self.announce(urgent=True)
+        self.announcer.announce(urgent=True)
         await asyncio.sleep(self.settings.leaving_ms / MS_PER_SECOND)
         await self.server.drain(self.settings.drain_ms)
         self.ended = True
         for task in tuple(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        self.notices.close()
+        self.announcer.close()
         self.entry.connections.close()
         await self.peer_server.drain(0)
         await self.admin.drain(0)
--- a/cactusvane/following/finder.py
+++ b/cactusvane/following/finder.py
@@ -33,8 +33,8 @@
         Asks other entries.
     followers
         The tables that a seed may know already, by name.
-    announce
-        Tells the other entries of this one, at once where it is urgent.
+    greet
+        Tells another entry of this one.
     clock
         The process's clock.
     """
@@ -46,7 +46,7 @@
         domain: Domain,
         exchange: EntryExchange,
         followers: dict[str, TableFollower],
-        announce: Callable[[bool], None],
+        greet: Callable[[Address], None],
         clock: Clock,
     ) -> None:
         self.clock = clock
@@ -55,7 +55,7 @@
         self.domain = domain
         self.exchange = exchange
         self.followers = followers
-        self.announce = announce
+        self.greet = greet
 
     @property
     def own(self) -> Vm:
@@ -77,15 +77,10 @@
     def meet(self, vms: tuple[Vm, ...]) -> None:
         """Take in entries of the failure domain and tell them of this one."""
         now = self.clock.now()
-        new = [
-            vm
-            for vm in vms
-            if vm.failure_domain == self.settings.failure_domain
-            and vm.peer is not None
-            and self.domain.meet(vm.name, vm.peer, now)
-        ]
-        if new:
-            self.announce(True)
+        for vm in vms:
+            near = vm.failure_domain == self.settings.failure_domain
+            if near and vm.peer is not None and self.domain.meet(vm.name, vm.peer, now):
+                self.greet(vm.peer)
 
     async def ask_seeds(self, enough: Callable[[], bool]) -> None:
         """Learn from other entries until there is `enough`."""
--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -1,14 +1,15 @@
 """The entries of one failure domain, and the loads and evidence that they share.
 
-Every entry tells the others what it has in flight and how attempts ended, at once and in one
-datagram each. A lost notice is made good by the next: it holds all that is in flight.
+Every entry tells the others what it has in flight and how attempts ended. A lost notice is made
+good by the next: it holds all that is in flight.
 """
 
-from dataclasses import dataclass, replace
-from math import ceil, inf
+from dataclasses import dataclass
+from math import inf
 from random import Random
 
 import xxhash
+from msgspec.structs import replace
 
 from cactusvane.configuration.model import Configuration
 from cactusvane.fleet.vm import Address, Vm
@@ -21,8 +22,7 @@
 """An entry that was not heard for so long counts as gone; more than two beats."""
 
 FORGET_MS = 30_000.0
-"""An entry that was not heard for so long gets no more notices."""
-
+"""An entry of the same group that was not heard for so long gets no more notices."""
 
 SPENT_MS = 1_000.0
 """How often an entry tells its requests; with too few of them the others are only too careful."""
@@ -31,17 +31,25 @@
 """Entries that share loads with each other; a larger failure domain falls into groups."""
 
 
-def group_of(vm: str, entries: int) -> int:
-    """Return the group of an entry in a failure domain of so many entries.
+def count_groups(entries: int) -> int:
+    """Return the groups of a failure domain of so many entries.
+
+    The number is a power of two, so that a few entries more or less leave the groups as they are.
 
     Examples
     --------
-    >>> group_of("e1", 48), group_of("e2", 48)
-    (0, 0)
-    >>> len({group_of(f"e{number}", 1_425) for number in range(1_425)})
-    23
+    >>> count_groups(48), count_groups(65), count_groups(1_425)
+    (1, 2, 32)
     """
-    return xxhash.xxh64_intdigest(vm.encode()) % ceil(entries / MOST_GROUP)
+    groups = 1
+    while groups * MOST_GROUP < entries:
+        groups *= 2
+    return groups
+
+
+def hash_name(vm: str) -> int:
+    """Return a number that is the same on all VMs."""
+    return xxhash.xxh64_intdigest(vm.encode())
 
 
 @dataclass(slots=True)
@@ -54,13 +62,19 @@
         Where it takes notices.
     heard
         When it was heard last, in milliseconds of the process's clock.
+    rank
+        Its place in an order that is the same on all VMs.
     notice
         What it said last; None before its first notice.
+    seen
+        Number of its observations that are known here.
     """
 
     address: Address
     heard: float
+    rank: int
     notice: Notice | None = None
+    seen: int = 0
 
 
 class Domain:
@@ -103,6 +117,7 @@
         self.listed: dict[str, tuple[Vm, ...]] = {}
         self.peers: dict[str, Peer] = {}
         self.unsent: list[Observation] = []
+        self.seen_told = 0
         self.number = 0
         self.retried = False
         self.spent_told_at = -inf
@@ -179,7 +194,7 @@
         peer = self.peers.get(vm)
         if peer is not None and peer.address == address:
             return False
-        self.peers[vm] = Peer(address, now)
+        self.peers[vm] = Peer(address, now, hash_name(vm))
         return True
 
     def hear(self, notice: Notice, address: Address, now: float) -> bool:
@@ -204,23 +219,32 @@
         self.add_load(notice, 1)
         self.note_use(notice, now)
         self.note_spending(notice, now)
-        for seen in notice.seen:
+        if last is not None and last.started != notice.started:
+            peer.seen = 0
+        self.learn(peer, notice, now)
+        return True
+
+    def learn(self, peer: Peer, notice: Notice, now: float) -> None:
+        """Learn from those observations of another entry that are not known yet."""
+        known = max(0, peer.seen - notice.seen_before)
+        peer.seen = max(peer.seen, notice.seen_before + len(notice.seen))
+        for seen in notice.seen[known:]:
             placement = self.by_target.get(seen.target)
             if placement is not None:
                 placement.learn(seen, now)
-        return True
 
     def expire(self, now: float) -> None:
         """Drop the loads of entries that were not heard for long, and old spending."""
         for retries in self.retries.values():
             retries.expire(now)
+        group = self.group()
         for vm, peer in tuple(self.peers.items()):
             if now - peer.heard <= PEER_MS:
                 continue
             if peer.notice is not None:
                 self.add_load(peer.notice, -1)
                 peer.notice = replace(peer.notice, in_flight={})
-            if now - peer.heard > FORGET_MS:
+            if now - peer.heard > FORGET_MS and vm in group:
                 del self.peers[vm]
 
     def live_peers(self, now: float) -> dict[str, Peer]:
@@ -231,11 +255,13 @@
             if peer.notice is not None and now - peer.heard <= PEER_MS
         }
 
-    def recipients(self) -> list[Address]:
-        """Return where notices go: to the entries of the same group."""
-        entries = len(self.peers) + 1
-        own = group_of(self.vm, entries)
-        return [peer.address for vm, peer in self.peers.items() if group_of(vm, entries) == own]
+    def group(self) -> dict[str, Peer]:
+        """Return the other entries that share their loads with this one."""
+        groups = count_groups(len(self.peers) + 1)
+        if groups == 1:
+            return self.peers
+        own = hash_name(self.vm) % groups
+        return {vm: peer for vm, peer in self.peers.items() if peer.rank % groups == own}
 
     def observe(self, seen: Observation) -> None:
         """Keep an observation for the next notice."""
@@ -265,6 +291,8 @@
         """
         self.number += 1
         seen, self.unsent = tuple(self.unsent), []
+        seen_before = self.seen_told
+        self.seen_told += len(seen)
         in_flight = {
             name: target.own
             for placement in self.placements.values()
@@ -272,4 +300,6 @@
             if target.own
         }
         spent = self.spent(now)
-        return Notice(self.vm, self.number, self.started, reading, in_flight, seen, spent)
+        return Notice(
+            self.vm, self.number, self.started, reading, in_flight, seen, spent, seen_before
+        )
--- a/cactusvane/placement/messages.py
+++ b/cactusvane/placement/messages.py
@@ -1,7 +1,12 @@
-"""What placement is asked, what it answers, and what entries tell each other."""
+"""What placement is asked, what it answers, and what entries tell each other.
+
+What goes into datagrams is encoded without field names: `array_like`.
+"""
 
 from dataclasses import dataclass
 
+import msgspec
+
 from cactusvane.fleet.vm import Address
 from cactusvane.outcome import Outcome
 from cactusvane.placement.retries import Spending
@@ -90,8 +95,7 @@
 Decision = Place | Wait | Reject
 
 
-@dataclass(frozen=True, slots=True)
-class Observation:
+class Observation(msgspec.Struct, frozen=True, array_like=True):
     """What one attempt showed of its target, told to the entries of the failure domain.
 
     Parameters
@@ -112,8 +116,7 @@
     latency_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class Reading:
+class Reading(msgspec.Struct, frozen=True, array_like=True):
     """How the platform's tables answer one entry.
 
     Parameters
@@ -134,8 +137,7 @@
     tables: dict[str, int]
 
 
-@dataclass(frozen=True, slots=True)
-class Notice:
+class Notice(msgspec.Struct, frozen=True, array_like=True, tag="notice"):
     """What one entry tells the others of its failure domain.
 
     Parameters
@@ -155,6 +157,8 @@
     spent
         Its requests and retries within the latest window, by service; None where the last notice
         that tells them still holds.
+    seen_before
+        Number of observations that the process told before those in `seen`.
     """
 
     sender: str
@@ -164,3 +168,30 @@
     in_flight: dict[str, int]
     seen: tuple[Observation, ...] = ()
     spent: dict[str, Spending] | None = None
+    seen_before: int = 0
+
+
+class Passed(msgspec.Struct, frozen=True, array_like=True):
+    """A notice that is passed on, and where its sender takes notices."""
+
+    notice: Notice
+    address: Address
+
+
+class Batch(msgspec.Struct, frozen=True, array_like=True, tag="batch"):
+    """Notices of several entries, passed on by one of them.
+
+    Parameters
+    ----------
+    sender
+        VM of the entry that passes them on.
+    notices
+        Those of one sender in the order of their numbers.
+    """
+
+    sender: str
+    notices: tuple[Passed, ...]
+
+
+Message = Notice | Batch
+"""A datagram between entries; a notice alone asks the one that gets it to pass it on."""
--- a/cactusvane/placement/notices.py
+++ b/cactusvane/placement/notices.py
@@ -1,7 +1,7 @@
 """Notices between the entries of a failure domain, one datagram each."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import msgspec
@@ -9,13 +9,13 @@
 from cactusvane import events
 from cactusvane.events import Event
 from cactusvane.fleet.vm import Address
-from cactusvane.placement.messages import Notice
+from cactusvane.placement.messages import Message
 
 ENCODER = msgspec.msgpack.Encoder()
-DECODER = msgspec.msgpack.Decoder(Notice)
+DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
 MOST_BYTES = 60_000
-"""Largest notice; more does not fit a datagram."""
+"""Largest message; more does not fit a datagram."""
 
 
 class NoticeEndpoint(asyncio.DatagramProtocol):
@@ -24,10 +24,10 @@
     Parameters
     ----------
     hear
-        Called with each notice and where it came from.
+        Called with each message and where it came from.
     """
 
-    def __init__(self, hear: Callable[[Notice, Address], None]) -> None:
+    def __init__(self, hear: Callable[[Message, Address], None]) -> None:
         self.hear = hear
         self.transport: asyncio.DatagramTransport | None = None
 
@@ -41,20 +41,20 @@
         self.transport = transport
 
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
-        """Decode a notice; one that cannot be read is passed over."""
+        """Decode a message; one that cannot be read is passed over."""
         try:
-            notice = DECODER.decode(data)
+            message = DECODER.decode(data)
         except msgspec.DecodeError as error:
             events.write(Event.NOTICE_UNUSABLE, reason=f"{addr[0]}: {error}")
             return
-        self.hear(notice, Address(addr[0], addr[1]))
+        self.hear(message, Address(addr[0], addr[1]))
 
     def error_received(self, exc: Exception) -> None:
         """Pass over a datagram that could not be sent; the next notice makes it good."""
 
-    def send(self, notice: Notice, peers: list[Address]) -> None:
-        """Send a notice to all `peers`."""
-        data = ENCODER.encode(notice)
+    def send(self, message: Message, peers: Iterable[Address]) -> None:
+        """Send a message to all `peers`."""
+        data = ENCODER.encode(message)
         if self.transport is None or len(data) > MOST_BYTES:
             events.write(Event.NOTICE_UNUSABLE, reason=f"{len(data)} bytes cannot be sent")
             return
--- /dev/null
+++ b/cactusvane/placement/relaying.py
@@ -0,0 +1,241 @@
+"""How notices reach all entries of a failure domain. No sockets, no wall clock.
+
+Answers domains of dozens of entries: where each told every other one, datagrams would grow with
+the square of their number. Instead each tells one, the relay, which passes on in rounds what is
+news to it. The relay is the first entry, in an order that is the same everywhere, of those that
+were heard lately; nobody is elected. Two that relay at a time do no harm: a notice counts by its
+sender and number, however often it comes.
+
+An entry whose notice does not come back in a batch tells it again. While batches stay away, or
+the notice does, it leaves the relay alone for a time and tells the next one.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from math import inf
+
+from msgspec.structs import replace
+
+from cactusvane.fleet.vm import Address
+from cactusvane.placement.domain import PEER_MS, Domain, hash_name
+from cactusvane.placement.messages import Batch, Message, Notice, Passed, Reading
+
+BEAT_MS = 1_000.0
+"""How often an entry tells the others of itself without traffic."""
+
+GATHER_MS = 5.0
+"""How long ordinary news of an entry waits for more."""
+
+URGENT_MS = 2.0
+"""The same for news of a failure or of a table's change."""
+
+ROUND_MS = 30.0
+"""Time between two batches of a relay; a small part of what requests take at their targets."""
+
+QUIET_ROUND_MS = 100.0
+"""The same without news, so that a relay that ended is noticed."""
+
+ASKED_MS = 1_500.0
+"""How long an entry relays after it was told a notice; more than a beat."""
+
+AGAIN_MS = 70.0
+"""A notice that has not come back after this time is told again; two rounds and the way."""
+
+SILENT_MS = 300.0
+"""After so long without a batch, or without one's own notice in it, the next entry relays."""
+
+REST_MS = 3_000.0
+"""How long a relay that fell silent is left alone."""
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A message and where it goes."""
+
+    message: Message
+    to: tuple[Address, ...]
+
+
+class Relaying:
+    """One entry's part in passing notices on.
+
+    Parameters
+    ----------
+    domain
+        What the entries share.
+    own
+        Where this entry takes notices.
+    reading
+        Returns how the platform answers this entry.
+    now
+        Milliseconds of the process's clock, as everywhere here.
+
+    Attributes
+    ----------
+    relay
+        The entry that passes on this one's notices.
+    due
+        When the next own notice is to be told.
+    unreturned
+        The latest own notice, until it came back.
+    """
+
+    def __init__(
+        self, domain: Domain, own: Address, reading: Callable[[], Reading], now: float
+    ) -> None:
+        self.domain = domain
+        self.own = own
+        self.reading = reading
+        self.rank = hash_name(domain.vm)
+        self.relay = domain.vm
+        self.relay_since = now
+        self.resting: dict[str, float] = {}
+        self.batch_at: dict[str, float] = {}
+        self.due = now
+        self.told_at = -inf
+        self.unreturned: Notice | None = None
+        self.unreturned_since = now
+        self.again_at = inf
+        self.asked_at = -inf
+        self.round_at = -inf
+        self.news: list[Passed] = []
+        self.before: list[Passed] = []
+        self.greeting: list[Address] = []
+
+    def announce(self, urgent: bool, now: float) -> None:
+        """Tell the other entries soon, or at once where the news is urgent."""
+        self.due = min(self.due, now + (URGENT_MS if urgent else GATHER_MS))
+
+    def greet(self, address: Address) -> None:
+        """Tell an entry of this one, once and directly."""
+        self.greeting.append(address)
+
+    def relays(self, now: float) -> bool:
+        """Say whether this entry passes notices on."""
+        return self.relay == self.domain.vm or now - self.asked_at <= ASKED_MS
+
+    def next_at(self, now: float) -> float:
+        """Return when `step` has something to do."""
+        times = [self.due, self.told_at + BEAT_MS]
+        if self.relays(now):
+            times.append(self.round_at + (ROUND_MS if self.news else QUIET_ROUND_MS))
+        if self.relay != self.domain.vm:
+            times += [self.again_at, self.heard_relay_at() + SILENT_MS]
+        return min(times)
+
+    def heard_relay_at(self) -> float:
+        """Return when the relay was heard last, or was chosen."""
+        return max(self.relay_since, self.batch_at.get(self.relay, -inf))
+
+    def step(self, now: float) -> Iterator[Outgoing]:
+        """Do what is due, and return what is to be sent."""
+        self.choose(now)
+        if now >= min(self.due, self.told_at + BEAT_MS):
+            yield from self.tell(now)
+        elif self.unreturned is not None and now >= self.again_at:
+            yield from self.tell_again(self.unreturned, now)
+        if self.relays(now):
+            yield from self.pass_on(now)
+
+    def choose(self, now: float) -> None:
+        """Go by the first entry that is heard as the relay; the present one may have ended."""
+        if self.is_silent(now):
+            self.resting[self.relay] = now + REST_MS
+        first, rank = self.domain.vm, self.rank
+        for vm, peer in self.domain.group().items():
+            heard = peer.notice is not None and now - peer.heard <= PEER_MS
+            if heard and peer.rank < rank and now >= self.resting.get(vm, -inf):
+                first, rank = vm, peer.rank
+        if first != self.relay:
+            self.relay = first
+            self.relay_since = self.unreturned_since = now
+            self.due = now
+
+    def is_silent(self, now: float) -> bool:
+        """Say whether the relay sends nothing, or does not get what this entry tells it."""
+        if self.relay == self.domain.vm:
+            return False
+        if now - self.heard_relay_at() >= SILENT_MS:
+            return True
+        return self.unreturned is not None and now - self.unreturned_since >= SILENT_MS
+
+    def tell(self, now: float) -> Iterator[Outgoing]:
+        """Tell a new notice; it repeats the observations of one that has not come back."""
+        self.due = inf
+        self.told_at = now
+        notice = self.domain.next_notice(self.reading(), now)
+        if self.unreturned is None:
+            self.unreturned_since = now
+        else:
+            notice = joined(self.unreturned, notice)
+        if self.greeting:
+            yield Outgoing(self.batch([Passed(notice, self.own)]), tuple(self.greeting))
+            self.greeting = []
+        if self.relay == self.domain.vm:
+            self.unreturned = None
+            self.news.append(Passed(notice, self.own))
+        else:
+            self.unreturned = notice
+            self.again_at = now + AGAIN_MS
+            yield Outgoing(notice, (self.domain.peers[self.relay].address,))
+
+    def tell_again(self, notice: Notice, now: float) -> Iterator[Outgoing]:
+        """Tell the latest notice once more, since it or the batch with it was lost."""
+        self.again_at = now + AGAIN_MS
+        if self.relay in self.domain.peers:
+            yield Outgoing(notice, (self.domain.peers[self.relay].address,))
+
+    def pass_on(self, now: float) -> Iterator[Outgoing]:
+        """Send a batch if it is time; each notice goes out in two of them, as one may be lost."""
+        if now < self.round_at + (ROUND_MS if self.news else QUIET_ROUND_MS):
+            return
+        self.round_at = now
+        passed = [*self.before, *self.news]
+        self.before, self.news = self.news, []
+        to = tuple(peer.address for peer in self.domain.group().values())
+        if to:
+            yield Outgoing(self.batch(passed), to)
+
+    def batch(self, passed: list[Passed]) -> Batch:
+        """Return a batch of this entry."""
+        return Batch(self.domain.vm, tuple(passed))
+
+    def hear(self, message: Message, address: Address, now: float) -> list[Passed]:
+        """Take in a message and return the notices in it that are news."""
+        match message:
+            case Notice():
+                self.asked_at = now
+                passed: tuple[Passed, ...] = (Passed(message, address),)
+            case Batch():
+                self.batch_at[message.sender] = now
+                passed = message.notices
+        return [each for each in passed if self.take(each, now)]
+
+    def take(self, passed: Passed, now: float) -> bool:
+        """Take in one notice, and say whether it was news."""
+        notice = passed.notice
+        if notice.sender == self.domain.vm:
+            self.note_return(notice)
+            return False
+        if not self.domain.hear(notice, passed.address, now):
+            return False
+        if self.relays(now):
+            self.news.append(passed)
+        return True
+
+    def note_return(self, notice: Notice) -> None:
+        """Note that an own notice came back: the others get it, too."""
+        waiting = self.unreturned
+        if waiting is None or notice.started != waiting.started:
+            return
+        if notice.number >= waiting.number:
+            self.unreturned = None
+            self.again_at = inf
+
+
+def joined(earlier: Notice, later: Notice) -> Notice:
+    """Return the later of two notices with what only the earlier one tells."""
+    spent = earlier.spent if later.spent is None else later.spent
+    return replace(
+        later, seen=earlier.seen + later.seen, spent=spent, seen_before=earlier.seen_before
+    )
--- a/cactusvane/placement/retries.py
+++ b/cactusvane/placement/retries.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import msgspec
+
 STEPS = 20
 """Steps into which the window is cut; counts are up to one step too old."""
 
@@ -41,8 +43,7 @@
     domains: int = 1
 
 
-@dataclass(frozen=True, slots=True)
-class Spending:
+class Spending(msgspec.Struct, frozen=True, array_like=True):
     """What one entry did for one service within the latest window.
 
     Parameters
--- a/tests/placement/test_domain.py
+++ b/tests/placement/test_domain.py
@@ -1,10 +1,10 @@
 """Loads and evidence that entries share, with notices lost, doubled and out of order."""
 
-from dataclasses import replace
 from random import Random
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from cactusvane.configuration.model import Configuration, Service
 from cactusvane.fleet.vm import Address
@@ -117,7 +117,7 @@
         domain = Domain(own, NEAR, 1, Random(1))
         for number, name in enumerate(names):
             domain.meet(name, Address("10.0.0.1", number), 0.0)
-        reached[own] = {address.port for address in domain.recipients()}
+        reached[own] = {peer.address.port for peer in domain.group().values()}
         assert 0 < len(reached[own]) < 2 * MOST_GROUP
     for number, name in enumerate(names):
         for other in reached[name]:
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from dataclasses import replace
 
+from msgspec import structs
+
 from cactusvane.fleet.vm import VmState
 from cactusvane.outcome import Outcome
 from cactusvane.placement.messages import Demand, Observation, Place, Reject, Wait
@@ -113,7 +115,7 @@
 
 def test_a_request_in_flight_for_too_long_speaks_against_its_target() -> None:
     placement = make_placement(make_target(0), make_target(1))
-    placement.learn(replace(served("t0"), outcome=None), 0.0)
+    placement.learn(structs.replace(served("t0"), outcome=None), 0.0)
     assert chosen(placement, make_demand(idempotent=False), 4)["t0"] <= 1
 
 
