Gather changes of the platform's tables, spread what entries ask each other for

Cause: targets register one by one, and each change was a read of its own; all entries of a domain asked the reader in the same moment, which on a small VM with a narrow link answers 56 others. Ruled out: longer waiting reads, since an entry that is cut off is replaced by their age.

--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -31,6 +31,7 @@
 )
 from cactusvane.following.finder import EntryFinder
 from cactusvane.following.follower import FollowSettings, TableFollower
+from cactusvane.following.puller import TablePuller
 from cactusvane.following.readers import Candidate, is_reader
 from cactusvane.following.source import TableSource
 from cactusvane.http.check import bad_request
@@ -150,6 +151,7 @@
             self.announcer.greet,
             self.clock,
         )
+        self.puller = TablePuller(self.domain, self.followers, self.clock, self.random)
         self.lapsed = LapsedTargets()
         self.server = Server(settings.http, self.entry.handle)
         self.admin = Server(settings.http, self.answer_admin)
@@ -283,9 +285,8 @@
         for passed in news:
             reading = passed.notice.reading
             for table, version in reading.tables.items():
-                follower = self.followers.get(table)
-                if follower is not None and version > follower.copy.changed:
-                    self.start(follower.catch_up(passed.address, version))
+                if self.puller.should_pull(table, version):
+                    self.start(self.puller.pull(table))
             if reading.failure_age_ms is not None:
                 self.lapsed.failed(self.clock.now() - reading.failure_age_ms)
         self.placer.wake()
--- a/cactusvane/following/follower.py
+++ b/cactusvane/following/follower.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from math import inf
 from random import Random
 
 from cactusvane import events
@@ -21,7 +22,10 @@
 """How often a VM that does not read looks whether it has to."""
 
 BATCH_MS = 20.0
-"""Pause between two reads of changes, so that changes in quick succession come together."""
+"""Pause after a read that brought changes, so that those that belong together come together."""
+
+BATCH_GROWTH = 2.0
+"""Factor on this pause with each read in a row that brought changes soon after the last one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,10 +38,17 @@
         How long the platform holds a read of changes; a reader that is cut off notices so soon.
     fresh_ms
         Age of the platform's latest answer to a reader at which other VMs take over.
+    most_batch_ms
+        How long a change may wait for others at most while one follows the other.
+    first_read_ms
+        Within which time VMs that start all together read a table first, at random moments: most
+        of them have it from another VM by then.
     """
 
     wait_ms: float = 1_000.0
     fresh_ms: float = 1_300.0
+    most_batch_ms: float = 200.0
+    first_read_ms: float = 0.0
 
 
 Pull = Callable[[Address, str, int], Awaitable[TableRows]]
@@ -105,11 +116,14 @@
         self.answered_at: float | None = None
         self.history_lost = False
         self.pause_ms = FIRST_PAUSE_MS
+        self.batch_ms = BATCH_MS
+        self.changed_at = -inf
         self.pulling = False
         self.takes_over = False
 
     async def run(self) -> None:
         """Follow until cancelled."""
+        await self.wait_for_others()
         while True:
             if self.copy.loaded and not self.should_read():
                 self.takes_over = True
@@ -117,6 +131,12 @@
             else:
                 await self.read()
 
+    async def wait_for_others(self) -> None:
+        """Leave the first read to other VMs for a moment, where all start together."""
+        until = self.clock.now() + self.random.uniform(0.0, self.settings.first_read_ms)
+        while not self.copy.loaded and self.clock.now() < until:
+            await asyncio.sleep(IDLE_MS / MS_PER_SECOND)
+
     async def read(self) -> None:
         """Read once from the platform; a failure is logged when it begins and when it ends."""
         try:
@@ -131,7 +151,18 @@
         self.history_lost = False
         self.note_answer()
         self.take(read, "platform")
-        await asyncio.sleep(BATCH_MS / MS_PER_SECOND)
+        await asyncio.sleep(self.next_batch_ms(bool(read.rows)) / MS_PER_SECOND)
+
+    def next_batch_ms(self, changed: bool) -> float:
+        """Return how long to wait for more changes after a read."""
+        if not changed:
+            return BATCH_MS
+        now = self.clock.now()
+        soon = now - self.changed_at <= 2.0 * self.settings.most_batch_ms
+        self.changed_at = now
+        most = self.settings.most_batch_ms
+        self.batch_ms = min(most, BATCH_GROWTH * self.batch_ms) if soon else BATCH_MS
+        return self.batch_ms
 
     async def next_rows(self) -> TableRows:
         """Return the whole table where it is not known, or else what changed."""
--- a/tests/following/test_follower.py
+++ b/tests/following/test_follower.py
@@ -155,3 +155,29 @@
 
     asyncio.run(run())
     assert source.waits == [0.0, SETTINGS.wait_ms]
+
+
+def test_changes_that_follow_one_another_are_gathered_longer_each_time() -> None:
+    follower = make_follower(ScriptedSource())
+    first = follower.next_batch_ms(True)
+    batches = [follower.next_batch_ms(True) for _ in range(8)]
+    assert batches == sorted(batches)
+    assert batches[0] > first
+    assert batches[-1] == SETTINGS.most_batch_ms
+    follower.changed_at -= 3.0 * SETTINGS.most_batch_ms
+    assert follower.next_batch_ms(True) == first
+
+
+def test_where_all_start_together_a_table_from_another_vm_saves_the_first_read() -> None:
+    source = ScriptedSource()
+    settings = FollowSettings(first_read_ms=60_000.0)
+    follower = TableFollower("targets", source, no_pull, Clock(), Random(1), settings)
+
+    async def run() -> None:
+        waiting = asyncio.ensure_future(follower.wait_for_others())
+        await asyncio.sleep(0)
+        follower.take(ALL, "entry")
+        await asyncio.wait_for(waiting, 2.0)
+
+    asyncio.run(run())
+    assert source.asked == []
--- /dev/null
+++ b/tests/following/test_puller.py
@@ -0,0 +1,74 @@
+"""Changes that all entries of a failure domain hear of at once."""
+
+import asyncio
+from random import Random
+
+from cactusvane.clock import Clock
+from cactusvane.fleet.vm import Address
+from cactusvane.following.follower import FollowSettings, TableFollower
+from cactusvane.following.puller import SPREAD_MS, UNREAD_MS, TablePuller
+from cactusvane.following.table import TableRow, TableRows
+from cactusvane.placement.domain import Domain
+from cactusvane.placement.messages import Notice, Reading
+from tests.following.test_follower import ScriptedSource
+
+CHANGED = TableRows(9, (TableRow("a", b"2", 9),), whole=True)
+
+
+class Asked:
+    def __init__(self) -> None:
+        self.addresses: list[Address] = []
+
+    async def pull(self, address: Address, table: str, after: int) -> TableRows:
+        self.addresses.append(address)
+        return CHANGED
+
+
+def make_puller(entries: int, versions: dict[int, int], seed: int = 1) -> tuple[TablePuller, Asked]:
+    asked = Asked()
+    clock = Clock()
+    follower = TableFollower(
+        "targets", ScriptedSource(), asked.pull, clock, Random(seed), FollowSettings()
+    )
+    follower.copy.apply(TableRows(5, (TableRow("a", b"1", 5),), whole=True))
+    domain = Domain("own", "d", 1, Random(seed))
+    for number in range(entries):
+        tables = {"targets": versions.get(number, 5)}
+        notice = Notice(f"e{number}", 1, 1, Reading(True, 0.0, None, tables), {})
+        domain.hear(notice, Address("10.0.0.1", number), clock.now())
+    return TablePuller(domain, {"targets": follower}, clock, Random(seed)), asked
+
+
+def test_any_entry_that_has_the_change_is_asked_once() -> None:
+    chosen = set()
+    for seed in range(20):
+        puller, asked = make_puller(3, {0: 9, 2: 9}, seed)
+        assert puller.should_pull("targets", 9)
+        asyncio.run(puller.pull("targets"))
+        chosen.update(address.port for address in asked.addresses)
+        assert len(asked.addresses) == 1
+        assert not puller.should_pull("targets", 9)
+    assert chosen == {0, 2}
+
+
+def test_questions_are_spread_over_a_time_that_grows_with_the_domain() -> None:
+    puller, _ = make_puller(56, {0: 9})
+    follower = puller.followers["targets"]
+    delays = [puller.delay_ms(follower) for _ in range(200)]
+    assert max(delays) <= 56 * SPREAD_MS
+    assert max(delays) - min(delays) > 0.8 * 56 * SPREAD_MS
+
+
+def test_an_entry_that_starts_alone_waits_for_the_platforms_answer_first() -> None:
+    puller, _ = make_puller(2, {})
+    fresh = TableFollower(
+        "targets", ScriptedSource(), Asked().pull, Clock(), Random(1), FollowSettings()
+    )
+    assert puller.delay_ms(fresh) >= UNREAD_MS
+
+
+def test_nobody_is_asked_for_what_came_meanwhile() -> None:
+    puller, asked = make_puller(3, {0: 9})
+    puller.followers["targets"].copy.apply(CHANGED)
+    asyncio.run(puller.pull("targets"))
+    assert asked.addresses == []
