Keep connections to targets for another exchange

Ruled out: keeping them for repeatable requests alone, which are half of the load or less. Change: a connection rests after a whole answer of announced length that names its request; any byte or close ends it, an answer on it must name the request, and it carries no id twice in a row. It rests as long as the target announced, or 5 s. What was lost on one that had rested for r bounds the rest of the whole failure domain at r / 2, from where it doubles every 4 s; repeatable requests may use twice that. At equal cost a target with a resting connection is preferred.

--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -116,7 +116,6 @@
         self.request = request
         own = self.vocabulary.set_by_entries
         self.headers = [field for field in end_to_end(request.headers) if field[0] not in own]
-        self.headers.append((b"connection", b"close"))
         self.started = self.clock.now()
         self.at_targets = 0.0
         self.waited = 0.0
@@ -136,7 +135,9 @@
         )
         self.held: Lease | None = None
         self.tried: frozenset[Address] = frozenset()
-        self.request_id = (request.header(self.vocabulary.request_id) or b"").decode("latin-1")
+        self.own_id = request.header(self.vocabulary.request_id)
+        self.request_id = (self.own_id or b"").decode("latin-1")
+        self.stale_rest_ms = 0.0
         self.last_attempt: AttemptNote | None = None
         self.answer: Answer | None = None
         self.ticket: Ticket | None = None
@@ -196,6 +197,7 @@
         if self.caller.gone:
             return NoTarget("caller-gone")
         self.tried |= {address}
+        self.stale_rest_ms = 0.0
         started = self.clock.now()
         outcome = Outcome.CANCELLED
         result: AttemptResult | None = None
@@ -210,7 +212,7 @@
             if outcome is Outcome.SERVED and not self.streams:
                 self.end_soon(address, latency)
             elif not self.streams:
-                self.end(address, latency, outcome)
+                self.end(address, self.stale_rest_ms or latency, outcome)
 
     def note_attempt(
         self, address: Address, outcome: Outcome, result: AttemptResult | None, latency: float
@@ -306,21 +308,21 @@
         try:
             async with asyncio.timeout(command.remaining_ms / MS_PER_SECOND) as limit:
                 with self.breaking_off(command, limit):
-                    verified = not self.route.idempotent
-                    connection = await self.entry.connections.take(address, verified)
+                    connection = await self.connect(address)
                     if self.held and not self.held.may_send(self.clock.now()):
                         connection.close()
                         text = "the claim's lease is over"
                         return Lost(Outcome.CANCELLED, Verdict.NOT_RUN, text)
                     remaining = command.remaining_ms - (self.clock.now() - started)
-                    answer = await connection.exchange(self.outgoing(remaining))
-            self.check(answer)
+                    answer = await connection.exchange(self.outgoing(remaining), self.keeps)
+            self.check(answer, connection)
+            self.put_back(address, connection, answer)
         except ConnectError as error:
             return Lost(Outcome.UNREACHABLE, error.verdict, str(error))
         except BrokenAnswerError as error:
-            if connection is not None:
-                connection.close()
-            return Lost(Outcome.BROKEN, error.verdict, f"{address}: {error}")
+            assert connection is not None
+            connection.close()
+            return self.broken(address, connection, error)
         except TimeoutError:
             text = f"{address}: no answer in time"
             if connection is None:
@@ -328,6 +330,39 @@
             return Lost(Outcome.TIMED_OUT, Verdict.MAY_HAVE_RUN, text)
         return await self.receive(address, answer, started)
 
+    @property
+    def keeps(self) -> bool:
+        """Whether connections to targets may be used again."""
+        return self.admission.most_rest_ms(self.route.idempotent) > 0.0
+
+    async def connect(self, address: Address) -> ClientConnection:
+        """Return a connection that has rested, or a new one."""
+        most_rest_ms = self.admission.most_rest_ms(self.route.idempotent)
+        kept = self.entry.kept.take(address, most_rest_ms, self.own_id)
+        if kept is not None:
+            return kept
+        return await self.entry.connections.take(address, verified=not self.route.idempotent)
+
+    def put_back(self, address: Address, connection: ClientConnection, answer: Answer) -> None:
+        """Let the connection of a whole answer rest, if the answer names the request."""
+        names = self.vocabulary
+        if answer.rest is not None:
+            return
+        if self.own_id is None or answer.header(names.request_id) != self.own_id:
+            connection.close()
+            return
+        self.entry.kept.put(address, connection, answer, self.own_id)
+
+    def broken(
+        self, address: Address, connection: ClientConnection, error: BrokenAnswerError
+    ) -> Lost:
+        """Return what an answer that is not whole means; a kept connection may have been closed."""
+        stale = connection.rested_ms > 0.0 and not connection.heard
+        if stale:
+            self.stale_rest_ms = connection.rested_ms
+        outcome = Outcome.STALE if stale else Outcome.BROKEN
+        return Lost(outcome, error.verdict, f"{address}: {error}")
+
     @contextmanager
     def breaking_off(self, command: Try, limit: asyncio.Timeout) -> Iterator[None]:
         """Look after the attempt's own time whether it is to be broken off."""
@@ -356,12 +391,14 @@
         """Return the request as targets get it, with what is left of its deadline."""
         left = b"%d" % max(1, int(remaining_ms))
         headers = [*self.headers, (self.vocabulary.deadline, left)]
+        if not self.keeps:
+            headers.append((b"connection", b"close"))
         place = self.ticket.place if self.ticket else None
         if self.vocabulary.expected_target and place is not None:
             headers.append((self.vocabulary.expected_target, place.name.encode()))
         return Request(self.request.method, self.request.target, headers, self.request.body)
 
-    def check(self, answer: Answer) -> None:
+    def check(self, answer: Answer, connection: ClientConnection) -> None:
         """Refuse an answer that is not the target's whole answer to this request.
 
         Raises
@@ -372,7 +409,8 @@
         names = self.vocabulary
         if names.request_id:
             echoed = answer.header(names.request_id)
-            if echoed is not None and echoed != self.request.header(names.request_id):
+            unnamed = echoed is None and connection.rested_ms == 0.0
+            if not unnamed and echoed != self.own_id:
                 raise BrokenAnswerError("the answer belongs to another request")
         if names.signature and answer.status < FIRST_ERROR_STATUS:
             if answer.header(names.signature) is None:
--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -12,10 +12,11 @@
 from cactusvane.dispatch import Dispatch
 from cactusvane.errors import RequestError
 from cactusvane.events import Event
-from cactusvane.fleet.vm import Vm, group_by_service
+from cactusvane.fleet.vm import Vm, VmState, group_by_service
 from cactusvane.http.check import bad_request
 from cactusvane.http.connection import TargetConnections
 from cactusvane.http.exchange import Caller
+from cactusvane.http.kept import KeptConnections
 from cactusvane.http.message import Answer, Request
 from cactusvane.http.vocabulary import Vocabulary
 from cactusvane.metrics import Recorder
@@ -58,6 +59,8 @@
 
     Attributes
     ----------
+    kept
+        Connections to targets that rest.
     leaving
         Whether the process stops, and finishes what is in flight.
     """
@@ -79,6 +82,7 @@
         self.placer = placer
         self.vocabulary = vocabulary
         self.connections = connections
+        self.kept = KeptConnections(clock)
         self.keyed: KeyedHandler | None = None
         self.ledger = Ledger(settings.vm)
         self.configured = False
@@ -100,13 +104,15 @@
         }
 
     def list_vms(self, vms: tuple[Vm, ...]) -> None:
-        """Take in the list of all VMs."""
+        """Take in the list of all VMs; connections to those that leave are closed."""
+        self.kept.retain({vm.address for vm in vms if vm.state is VmState.LIVE})
         self.placer.list_vms(group_by_service(vms))
 
     def tick(self) -> None:
         """Let time pass for targets and connections."""
         self.placer.tick()
         self.connections.tick()
+        self.kept.tick()
 
     def note_refused(self, request: Request, status: int, code: str) -> None:
         """Count and log a request that belongs to no service."""
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -137,6 +137,7 @@
             TargetConnections(settings.http, self.clock, spares=0),
             platform.vocabulary,
         )
+        self.domain.rested_ms = self.entry.kept.rested_ms
         self.exchange = EntryExchange(settings.http)
         self.followers = {
             CONFIGURATION_TABLE: self.follower(CONFIGURATION_TABLE, self.configuration_changed),
@@ -331,6 +332,7 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         self.announcer.close()
         self.entry.connections.close()
+        self.entry.kept.close()
         await self.peer_server.drain(0)
         await self.admin.drain(0)
         events.write(Event.DAEMON_STOPPED, vm=self.settings.vm)
--- a/cactusvane/http/client.py
+++ b/cactusvane/http/client.py
@@ -31,6 +31,15 @@
         A connected socket that does not block.
     limits
         Bounds on the head of an answer and on what is held of its body.
+
+    Attributes
+    ----------
+    keep
+        Whether it is to stay open after a whole answer.
+    rested_ms
+        How long it had rested before the present exchange, in milliseconds; 0 for a new one.
+    heard
+        Whether any byte came in the present exchange.
     """
 
     def __init__(self, sock: socket.socket, limits: HttpLimits) -> None:
@@ -40,6 +49,9 @@
         self.parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=limits.head_bytes)
         self.closed = False
         self.reading = False
+        self.keep = False
+        self.rested_ms = 0.0
+        self.heard = False
         self.unsent = b""
         self.answered: asyncio.Future[Answer] | None = None
         self.method = ""
@@ -63,11 +75,18 @@
         self.close()
         return False
 
-    async def exchange(self, request: Request) -> Answer:
+    async def exchange(self, request: Request, keep: bool = False) -> Answer:
         """Send `request` and return the answer.
 
         Cancelling this closes the connection, which cancels the work at the target.
 
+        Parameters
+        ----------
+        request
+            With its whole body.
+        keep
+            Whether the connection may be used again after a whole answer.
+
         Raises
         ------
         ConnectError
@@ -77,8 +96,8 @@
         """
         if self.closed or self.parser.our_state is not h11.IDLE:
             raise ConnectError("the connection is closed")
+        self.begin(request.method, keep)
         data = self.encode(request)
-        self.method = request.method
         self.send_first(data)
         self.answered = self.loop.create_future()
         self.resume()
@@ -88,6 +107,16 @@
             self.close()
             raise
 
+    def begin(self, method: str, keep: bool) -> None:
+        """Forget what belongs to the exchange before."""
+        self.method = method
+        self.keep = keep
+        self.heard = False
+        self.interim = 0
+        self.head = None
+        self.parts = []
+        self.size = 0
+
     def send_first(self, data: bytes) -> None:
         """Write the beginning of a request; a failure proves that nothing was sent."""
         try:
@@ -134,6 +163,7 @@
         except OSError as error:
             self.fail(f"the connection broke before the answer was whole: {error}")
             return
+        self.heard = self.heard or bool(data)
         self.parse(data)
         if not data:
             self.fail("the connection closed before the answer was whole")
@@ -224,15 +254,32 @@
         )
 
     def finish(self) -> None:
-        """Deliver the whole answer; the connection has done its work."""
+        """Deliver the whole answer; the connection rests if it is fit for another exchange."""
         stream = self.stream
         self.stream = None
-        self.close()
+        if self.is_fit():
+            self.pause()
+            self.parser.start_next_cycle()
+        else:
+            self.close()
         if stream:
             stream.finish()
         else:
             self.deliver(None)
 
+    def is_fit(self) -> bool:
+        """Say whether another exchange may follow a whole answer.
+
+        It had an announced length, nothing came after it, all of the request was sent, and
+        neither side wants to close.
+        """
+        if not self.keep or self.head is None or self.unsent or self.stream is not None:
+            return False
+        announced = find_header(list(self.head.headers), b"content-length") is not None
+        surplus, closed = self.parser.trailing_data
+        states = self.parser.our_state, self.parser.their_state
+        return announced and not surplus and not closed and states == (h11.DONE, h11.DONE)
+
     def fail(self, text: str) -> None:
         """Close the connection and fail the exchange in progress, if any."""
         answered, stream = self.answered, self.stream
--- a/cactusvane/placement/admission.py
+++ b/cactusvane/placement/admission.py
@@ -55,6 +55,10 @@
         """Say whether a target that was not tried could take the request now."""
         return isinstance(self.placement.decide(demand, tried, self.clock.now()), Place)
 
+    def most_rest_ms(self, idempotent: bool) -> float:
+        """Return how long a connection may have rested that a request goes on."""
+        return self.placement.rest.most_ms(idempotent, self.clock.now())
+
     def open(self, demand: Demand, tried: frozenset[Address]) -> Ticket:
         """Take in a request that was sent to the targets `tried` already."""
         return SharedTicket(demand, tried)
@@ -128,7 +132,7 @@
         ticket.tried |= {address}
         self.placement.ended(seen, self.clock.now())
         self.domain.observe(seen)
-        self.announce(outcome in BAD)
+        self.announce(outcome in BAD or outcome is Outcome.STALE)
         self.wake()
 
     def withdraw(self, ticket: Ticket) -> None:
--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -4,6 +4,7 @@
 good by the next: it holds all that is in flight.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
 from random import Random
@@ -94,6 +95,11 @@
         How loads and evidence become decisions.
     limit
         Retries of the whole fleet for each service.
+
+    Attributes
+    ----------
+    rested_ms
+        Returns how long a connection to a target has rested; None where there is none.
     """
 
     def __init__(
@@ -114,6 +120,7 @@
         self.placements: dict[str, Placement] = {}
         self.retries: dict[str, SharedRetries] = {}
         self.by_target: dict[str, Placement] = {}
+        self.rested_ms: Callable[[Address], float | None] = lambda target: None
         self.listed: dict[str, tuple[Vm, ...]] = {}
         self.peers: dict[str, Peer] = {}
         self.unsent: list[Observation] = []
@@ -130,6 +137,7 @@
             placement = before.get(service.name)
             if placement is None:
                 placement = Placement(self.failure_domain, self.random, self.settings)
+                placement.rested_ms = self.rested_ms
             self.placements[service.name] = placement
         self.retries = {
             name: self.retries.get(name)
--- a/cactusvane/placement/messages.py
+++ b/cactusvane/placement/messages.py
@@ -107,7 +107,7 @@
     outcome
         How the attempt ended; None for one that is still in flight and overdue.
     latency_ms
-        How long it took, or has taken.
+        How long it took, or has taken; of a stale connection how long it had rested.
     """
 
     target: str
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -9,7 +9,7 @@
 at the targets for the most urgent one and waits, briefly, while there is none.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from random import Random
 
 from cactusvane.fleet.vm import Address, Vm
@@ -24,6 +24,7 @@
     Reject,
     Wait,
 )
+from cactusvane.placement.rest import RestLimit
 from cactusvane.placement.settings import PlacementSettings
 from cactusvane.placement.target import Target
 from cactusvane.placement.work import WorkTimes
@@ -46,6 +47,11 @@
         Source of all random choices.
     settings
         How loads and evidence become decisions.
+
+    Attributes
+    ----------
+    rested_ms
+        Returns how long a connection to a target has rested; None where there is none.
     """
 
     def __init__(self, failure_domain: str, random: Random, settings: PlacementSettings) -> None:
@@ -57,6 +63,8 @@
         self.objectives: dict[str, Demand] = {}
         self.outcomes = RecentOutcomes()
         self.late = RecentOutcomes()
+        self.rest = RestLimit()
+        self.rested_ms: Callable[[Address], float | None] = lambda target: None
 
     def list_targets(self, vms: Iterable[Vm], now: float) -> None:
         """Go by a new list; what is known of targets that stay is kept."""
@@ -106,8 +114,13 @@
         objective = min(demand.latency_ms, demand.deadline - now)
         work = self.work.expected(demand.kind, objective)
         candidates = self.left_out(usable, now) or usable
+        most_rest_ms = self.rest.most_ms(demand.idempotent, now)
         known = [(target, self.inputs(target, work, now)) for target in candidates]
-        best, inputs = min(known, key=lambda each: self.cost(each[0], each[1], demand, work, now))
+        best, inputs = min(
+            known,
+            key=lambda each: self.cost(each[0], each[1], demand, work, now)
+            + self.connect_cost(each[0], most_rest_ms, work),
+        )
         if self.is_hopeless(demand, inputs, work, now):
             return Reject("too-late", self.retry_after(inputs.wait_ms))
         if inputs.wait_ms > self.most_wait(demand):
@@ -189,6 +202,13 @@
         tie = self.random.random() * TIE_SHARE * work
         return inputs.wait_ms + work * inputs.slowness + busy + failure + far + tie
 
+    def connect_cost(self, target: Target, most_rest_ms: float, work: float) -> float:
+        """Return what a new connection to a target costs; 0 where one rests."""
+        rested_ms = self.rested_ms(target.vm.address)
+        if rested_ms is not None and rested_ms <= most_rest_ms:
+            return 0.0
+        return self.settings.connect_share * work
+
     def inputs(self, target: Target, work: float, now: float) -> Inputs:
         """Return what is known of a target."""
         slowness = target.evidence.slowness(now)
@@ -231,6 +251,9 @@
             self.outcomes.add(seen.outcome is Outcome.SERVED, now)
         if seen.outcome is None:
             target.fail(self.settings.overdue_weight, now)
+        elif seen.outcome is Outcome.STALE:
+            target.fail(self.settings.stale_weight, now)
+            self.rest.note_loss(seen.latency_ms, now)
         elif seen.outcome in BAD:
             target.fail(1.0, now)
         elif seen.outcome is Outcome.SERVED:
--- a/cactusvane/placement/settings.py
+++ b/cactusvane/placement/settings.py
@@ -35,6 +35,8 @@
         Cost of a target in another failure domain, as a share of the route's latency objective.
     spread_share
         Cost of a busy slot beside free ones, as a share of the work.
+    connect_share
+        Cost of a new connection beside one that rests, as a share of the work.
     cold_factor
         How much slower a target is while it warms up.
     wait_share
@@ -45,6 +47,8 @@
         A request in flight for this multiple of the usual time speaks against its target.
     overdue_weight
         How much it does so, in failed requests.
+    stale_weight
+        The same for a kept connection that broke: the target may only have closed it.
     unreachable_ms, unreachable_most_ms
         How long a target that could not be reached is left alone at first, and at most.
     unreachable_growth
@@ -77,11 +81,13 @@
     retry_cost: float = 0.9
     far_share: float = 0.6
     spread_share: float = 0.3
+    connect_share: float = 0.1
     cold_factor: float = 2.0
     wait_share: float = 0.125
     reserve_share: float = 0.5
     overdue_factor: float = 4.0
     overdue_weight: float = 0.5
+    stale_weight: float = 0.5
     unreachable_ms: float = 1_000.0
     unreachable_most_ms: float = 8_000.0
     unreachable_growth: float = 2.0
--- a/cactusvane/request/admission.py
+++ b/cactusvane/request/admission.py
@@ -69,6 +69,9 @@
     def has_room(self, demand: Demand, tried: frozenset[Address]) -> bool:
         """Say whether a target that was not tried could take the request now."""
 
+    def most_rest_ms(self, idempotent: bool) -> float:
+        """Return how long a connection may have rested that a request goes on; 0 for new ones."""
+
     def open(self, demand: Demand, tried: frozenset[Address]) -> Ticket:
         """Take in a request that was sent to the targets `tried` already."""
 
--- a/cactusvane/slots/admission.py
+++ b/cactusvane/slots/admission.py
@@ -43,6 +43,10 @@
         """Return True: where there is no slot, the request waits for one."""
         return True
 
+    def most_rest_ms(self, idempotent: bool) -> float:
+        """Return 0: connections are opened ahead of need and used once."""
+        return 0.0
+
     def open(self, demand: Demand, tried: frozenset[Address]) -> Ticket:
         """Take in a request that was sent to the targets `tried` already."""
         at_gate = self.gate.open(demand.deadline, tried, demand.idempotent)
