--- a/cactusvane/placement/relaying.py
+++ b/cactusvane/placement/relaying.py
@@ -32,7 +32,7 @@
 URGENT_MS = 2.0
 """The same for news of a failure or of a table's change."""
 
-ROUND_MS = 45.0
+ROUND_MS = 50.0
 """Time between two batches of a relay; a small part of what requests take at their targets."""
 
 QUIET_ROUND_MS = 100.0
@@ -41,11 +41,14 @@
 ASKED_MS = 1_500.0
 """How long an entry relays after it was told a notice; more than a beat."""
 
-AGAIN_MS = 100.0
+AGAIN_MS = 110.0
 """A notice that has not come back after this time is told again; two rounds and the way."""
 
 SILENT_MS = 300.0
-"""After so long without a batch, or without one's own notice in it, the next entry relays."""
+"""After so long without a batch the next entry relays."""
+
+UNRETURNED_MS = 450.0
+"""The same without one's own notices in the batches; some of them may have been lost."""
 
 SHARE = 8
 """Entries that one of them serves: the relay sends batches to some, which send them on."""
@@ -113,6 +116,7 @@
         self.before: list[Passed] = []
         self.greeting: list[Address] = []
         self.forwards: list[Outgoing] = []
+        self.turn = 0
 
     def announce(self, urgent: bool, now: float) -> None:
         """Tell the other entries soon, or at once where the news is urgent."""
@@ -174,7 +178,7 @@
             return False
         if now - self.heard_relay_at() >= SILENT_MS:
             return True
-        return self.unreturned is not None and now - self.unreturned_since >= SILENT_MS
+        return self.unreturned is not None and now - self.unreturned_since >= UNRETURNED_MS
 
     def tell(self, now: float) -> Iterator[Outgoing]:
         """Tell a new notice; it repeats the observations of one that has not come back."""
@@ -215,10 +219,8 @@
     def share_out(self, passed: list[Passed], now: float) -> Iterator[Outgoing]:
         """Send a batch to all entries, with the help of some of those that are heard."""
         peers = list(self.domain.group().values())
-        random = self.domain.random
-        random.shuffle(peers)
-        heard = [peer for peer in peers if is_heard(peer, now)]
-        helpers = heard[: ceil(len(peers) / SHARE)] if len(peers) > 2 * SHARE else []
+        self.domain.random.shuffle(peers)
+        helpers = self.next_helpers(peers, now)
         chosen = {peer.address for peer in helpers}
         others = [peer.address for peer in peers if peer.address not in chosen]
         if not helpers:
@@ -228,6 +230,17 @@
             batch = Batch(self.domain.vm, tuple(passed), forward)
             yield Outgoing(batch, (helper.address,))
 
+    def next_helpers(self, peers: list[Peer], now: float) -> list[Peer]:
+        """Return those that send this batch on, each in its turn; none where there are few."""
+        heard = [peer for peer in peers if is_heard(peer, now)]
+        if len(peers) <= 2 * SHARE or not heard:
+            return []
+        heard.sort(key=lambda peer: peer.rank)
+        wanted = min(len(heard), ceil(len(peers) / SHARE))
+        begin = self.turn % len(heard)
+        self.turn += wanted
+        return [heard[(begin + number) % len(heard)] for number in range(wanted)]
+
     def batch(self, passed: list[Passed]) -> Batch:
         """Return a batch of this entry."""
         return Batch(self.domain.vm, tuple(passed))
@@ -239,14 +252,17 @@
                 self.asked_at = now
                 self.domain.meet(message.sender, address, now)
                 known = address if message.full else None
-                passed: tuple[Passed, ...] = (Passed(message, known),)
+                told = Passed(message, known)
+                if not self.take(told, now):
+                    self.return_again(told)
+                    return []
+                return [told]
             case Batch():
                 self.batch_at[message.sender] = now
-                passed = message.notices
                 if message.forward:
-                    batch = Batch(message.sender, passed)
+                    batch = Batch(message.sender, message.notices)
                     self.forwards.append(Outgoing(batch, message.forward))
-        return [each for each in passed if self.take(each, now)]
+                return [each for each in message.notices if self.take(each, now)]
 
     def take(self, passed: Passed, now: float) -> bool:
         """Take in one notice, and say whether it was news."""
@@ -254,11 +270,16 @@
         if notice.sender == self.domain.vm:
             self.note_return(notice, now)
             return False
-        if not self.domain.hear(notice, passed.address, now):
-            return False
-        if self.relays(now):
+        news = self.domain.hear(notice, passed.address, now)
+        if news and self.relays(now):
+            self.news.append(passed)
+        return news
+
+    def return_again(self, passed: Passed) -> None:
+        """Pass on once more what its sender tells again, since the batches with it were lost."""
+        peer = self.domain.peers.get(passed.notice.sender)
+        if peer is not None and peer.notice == passed.notice and passed not in self.news:
             self.news.append(passed)
-        return True
 
     def note_return(self, notice: Notice, now: float) -> None:
         """Note that an own notice came back: the others get it, too."""
--- a/tests/placement/test_relaying.py
+++ b/tests/placement/test_relaying.py
@@ -10,7 +10,7 @@
 from cactusvane.fleet.vm import Address
 from cactusvane.outcome import Outcome
 from cactusvane.placement.messages import Batch, Notice, Observation, Passed
-from cactusvane.placement.relaying import REST_MS, SILENT_MS
+from cactusvane.placement.relaying import REST_MS, ROUND_MS, SILENT_MS
 
 SETTLED_MS = 2_000.0
 """Time after a fault in which a domain is calm again: a failed relay and two beats."""
@@ -66,7 +66,7 @@
     network = calm(20)
     for number, node in enumerate(network.nodes.values()):
         network.request(node, f"t{number % 7}", LONG_MS)
-    network.run(network.now + 60.0)
+    network.run(network.now + ROUND_MS + 20.0)
     assert len(network.relays()) == 1
     for node in network.nodes.values():
         assert loads(node) == in_flight(network)
@@ -144,6 +144,19 @@
     assert target.evidence.slow_weight - before <= 1.0
 
 
+def test_a_notice_told_again_is_passed_on_again_though_the_relay_knows_it() -> None:
+    network = calm(2)
+    relay = relay_of(network)
+    other = next(node for node in network.nodes.values() if node is not relay)
+    network.cut.add((relay.name, other.name))
+    network.request(other, "t0", LONG_MS)
+    network.run(network.now + 150.0)
+    assert other.relaying.unreturned is not None
+    network.cut.clear()
+    network.run(network.now + 200.0)
+    assert other.relaying.unreturned is None
+
+
 def test_a_greeting_asks_nobody_to_relay() -> None:
     network = calm(5)
     relay = relay_of(network)
