--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -443,7 +443,9 @@
         rest = None
         if answer.rest is not None:
             ended = partial(self.end_stream, address, started)
-            rest = RelayedStream(answer.rest, self.entry.settings.http.body_ms, ended)
+            part_ms = self.entry.settings.http.body_ms
+            deadline = self.attempts.deadline
+            rest = RelayedStream(answer.rest, part_ms, self.clock, deadline, ended)
         headers = [*end_to_end(answer.headers), RAN_FIELD]
         self.answer = Answer(answer.status, headers, answer.body, rest, answer.length)
         return Answered(answer.status, rest is not None)
--- a/cactusvane/http/stream.py
+++ b/cactusvane/http/stream.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from cactusvane.clock import MS_PER_SECOND
+from cactusvane.clock import MS_PER_SECOND, Clock
 from cactusvane.errors import BrokenAnswerError
 from cactusvane.http.message import BodyStream
 from cactusvane.outcome import Outcome
@@ -18,27 +18,45 @@
         What the target still sends.
     part_ms
         Time for each part.
+    clock
+        The process's clock.
+    deadline
+        Moment, in milliseconds of `clock`, after which nothing of the answer is of use: a target
+        may send without end.
     ended
         Called with the outcome, once.
     """
 
-    def __init__(self, rest: BodyStream, part_ms: float, ended: Callable[[Outcome], None]) -> None:
+    def __init__(
+        self,
+        rest: BodyStream,
+        part_ms: float,
+        clock: Clock,
+        deadline: float,
+        ended: Callable[[Outcome], None],
+    ) -> None:
         self.rest = rest
         self.part_ms = part_ms
+        self.clock = clock
+        self.deadline = deadline
         self.ended: Callable[[Outcome], None] | None = ended
 
     def __aiter__(self) -> "RelayedStream":
         return self
 
     async def __anext__(self) -> bytes:
+        left_ms = self.deadline - self.clock.now()
         try:
-            async with asyncio.timeout(self.part_ms / MS_PER_SECOND):
+            if left_ms <= 0.0:
+                raise TimeoutError("the answer is not whole at the deadline")
+            async with asyncio.timeout(min(self.part_ms, left_ms) / MS_PER_SECOND):
                 return await anext(self.rest)
         except StopAsyncIteration:
             self.end(Outcome.SERVED)
             raise
         except (TimeoutError, BrokenAnswerError) as error:
             self.end(Outcome.BROKEN)
+            await self.rest.aclose()
             raise BrokenAnswerError(str(error) or "the answer stalled") from error
 
     async def aclose(self) -> None:
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -113,7 +113,7 @@
             return self.wait_or_reject(demand, "no-target", demand.latency_ms, now)
         objective = min(demand.latency_ms, demand.deadline - now)
         work = self.work.expected(demand.kind, objective)
-        candidates = self.left_out(usable, now) or usable
+        candidates = self.left_out(usable, now) or self.forgotten(usable, demand, now) or usable
         most_rest_ms = self.rest.most_ms(demand.idempotent, now)
         known = [(target, self.inputs(target, work, now)) for target in candidates]
         best, inputs = min(
@@ -161,6 +161,26 @@
             and target.vm.failure_domain == self.failure_domain
         ]
 
+    def forgotten(self, usable: list[Target], demand: Demand, now: float) -> list[Target]:
+        """Return the targets near by that it is time to try again, however they did before.
+
+        What is lost with VMs is seen by nobody, so that a service may do worse than any entry
+        knows, and targets that are well again would stay out. Requests that may be repeated go
+        first. The longer a target was not used the likelier it is tried, so that the entries do
+        not all try it in the same moment.
+        """
+        settings = self.settings
+        pause = settings.forgotten_ms
+        if not demand.idempotent:
+            pause += settings.forgotten_more_ms
+        return [
+            target
+            for target in usable
+            if target.vm.failure_domain == self.failure_domain
+            and now - target.used_at > pause
+            and self.random.random() * settings.forgotten_ramp_ms < now - target.used_at - pause
+        ]
+
     def wait_or_reject(
         self, demand: Demand, reason: str, wait_ms: float, now: float
     ) -> Wait | Reject:
--- a/cactusvane/placement/settings.py
+++ b/cactusvane/placement/settings.py
@@ -19,6 +19,11 @@
         A target that failed when it was used last is left alone at least so long: gray failures
         last some seconds, and what a target did two seconds ago no longer excuses that nobody
         uses it.
+    forgotten_ms, forgotten_more_ms
+        A target that nobody used for so long is tried in any case, by a request that may be
+        repeated, and this much later by any other.
+    forgotten_ramp_ms
+        Time from then on in which the share of requests that try it grows to all.
     badly_share
         Share of failed requests from which a service does badly.
     half_life_ms
@@ -74,6 +79,9 @@
     recoveries_per_s: float = 0.25
     unused_ms: float = 1_500.0
     failed_ms: float = 3_500.0
+    forgotten_ms: float = 3_500.0
+    forgotten_more_ms: float = 1_000.0
+    forgotten_ramp_ms: float = 2_000.0
     badly_share: float = 0.08
     half_life_ms: float = 2_500.0
     most_slowness: float = 4.0
