--- a/tests/adapter/test_kept.py
+++ b/tests/adapter/test_kept.py
@@ -15,7 +15,7 @@
 LARGE = b"80000\r\n" + PART * 512 + b"\r\n"
 """A chunk beyond what an entry holds of an answer."""
 
-PAUSES_S = {"trickle": 0.05, "stall": 1.0}
+PAUSES_S = {"trickle": 0.05, "stall": 1.5}
 
 
 class KeepingTarget(TargetStandin):
