Tell each answer of the platform's tables at once

Cause: the age of a reader's latest answer was told each 500 ms only, so that others took over reading from sound ones.

--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -322,8 +322,10 @@
     def news_of(self, reading: Reading, now: float) -> Reading | None:
         """Return how the platform answers this entry, if the others are to hear of it now."""
         told = self.told_reading
+        told_ago_ms = now - self.reading_told_at
         same = told is not None and (told.tables, told.able) == (reading.tables, reading.able)
-        if same and now - self.reading_told_at < READING_MS:
+        answered = reading.answer_age_ms is not None and reading.answer_age_ms < told_ago_ms
+        if same and not answered and told_ago_ms < READING_MS:
             return None
         self.told_reading = reading
         self.reading_told_at = now
--- a/tests/placement/test_domain.py
+++ b/tests/placement/test_domain.py
@@ -122,3 +122,14 @@
     for number, name in enumerate(names):
         for other in reached[name]:
             assert number in reached[names[other]]
+
+
+def test_how_the_platform_answers_is_told_with_each_answer_and_change_else_rarely() -> None:
+    domain = make_domain()
+    assert domain.next_notice(Reading(True, 0.0, None, {"a": 1}), 1_000.0).full
+    assert not domain.next_notice(Reading(True, 100.0, None, {"a": 1}), 1_100.0).full
+    assert domain.next_notice(Reading(True, 0.0, None, {"a": 1}), 1_150.0).full
+    assert domain.next_notice(Reading(True, 50.0, None, {"a": 2}), 1_200.0).full
+    assert not domain.next_notice(Reading(True, 150.0, None, {"a": 2}), 1_300.0).full
+    assert domain.next_notice(Reading(False, 250.0, None, {"a": 2}), 1_400.0).full
+    assert domain.next_notice(Reading(False, 800.0, None, {"a": 2}), 1_950.0).full
