--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -74,6 +74,8 @@
         How long it took.
     inputs
         What the target was chosen by.
+    rested_ms
+        How long its connection had rested; 0 for a new one, None for none.
     """
 
     target: str
@@ -81,6 +83,7 @@
     outcome: str
     latency_ms: float
     inputs: Inputs | None
+    rested_ms: float | None
 
 
 class Lease(Protocol):
@@ -137,7 +140,7 @@
         self.tried: frozenset[Address] = frozenset()
         self.own_id = request.header(self.vocabulary.request_id)
         self.request_id = (self.own_id or b"").decode("latin-1")
-        self.stale_rest_ms = 0.0
+        self.rested_ms: float | None = None
         self.last_attempt: AttemptNote | None = None
         self.answer: Answer | None = None
         self.ticket: Ticket | None = None
@@ -197,7 +200,7 @@
         if self.caller.gone:
             return NoTarget("caller-gone")
         self.tried |= {address}
-        self.stale_rest_ms = 0.0
+        self.rested_ms = None
         started = self.clock.now()
         outcome = Outcome.CANCELLED
         result: AttemptResult | None = None
@@ -212,7 +215,8 @@
             if outcome is Outcome.SERVED and not self.streams:
                 self.end_soon(address, latency)
             elif not self.streams:
-                self.end(address, self.stale_rest_ms or latency, outcome)
+                stale_ms = self.rested_ms if outcome is Outcome.STALE else None
+                self.end(address, latency if stale_ms is None else stale_ms, outcome)
 
     def note_attempt(
         self, address: Address, outcome: Outcome, result: AttemptResult | None, latency: float
@@ -225,6 +229,7 @@
             outcome=outcome.value,
             latency_ms=round(latency, 1),
             inputs=place.inputs if place else None,
+            rested_ms=self.rested_ms,
         )
         if outcome is not Outcome.SERVED:
             events.write(
@@ -309,6 +314,7 @@
             async with asyncio.timeout(command.remaining_ms / MS_PER_SECOND) as limit:
                 with self.breaking_off(command, limit):
                     connection = await self.connect(address)
+                    self.rested_ms = connection.rested_ms
                     if self.held and not self.held.may_send(self.clock.now()):
                         connection.close()
                         text = "the claim's lease is over"
@@ -358,8 +364,6 @@
     ) -> Lost:
         """Return what an answer that is not whole means; a kept connection may have been closed."""
         stale = connection.rested_ms > 0.0 and not connection.heard
-        if stale:
-            self.stale_rest_ms = connection.rested_ms
         outcome = Outcome.STALE if stale else Outcome.BROKEN
         return Lost(outcome, error.verdict, f"{address}: {error}")
 
--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -82,6 +82,7 @@
     )
     ROW_UNUSABLE = EventKind(1706, logging.WARNING, "{table}: row {key} was passed over: {reason}")
     NOTICE_UNUSABLE = EventKind(1707, logging.WARNING, "a notice was passed over: {reason}")
+    RELAY_CHANGED = EventKind(1708, logging.INFO, "{relay} passes on notices after {before}")
     TARGET_LISTED = EventKind(
         1801, logging.INFO, "{service}: {target} at {address} is listed, {state}"
     )
--- a/cactusvane/placement/announcer.py
+++ b/cactusvane/placement/announcer.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable
 from math import inf
 
+from cactusvane import events
 from cactusvane.clock import MS_PER_SECOND, Clock
+from cactusvane.events import Event
 from cactusvane.fleet.vm import Address
 from cactusvane.placement.domain import Domain
 from cactusvane.placement.messages import Message, Passed, Reading
@@ -86,10 +88,24 @@
         """Send what is due."""
         self.timer = None
         self.timer_at = inf
+        before = self.relaying.relay
+        heard_at = self.relaying.heard_relay_at()
         for outgoing in self.relaying.step(self.clock.now()):
             self.endpoint.send(outgoing.message, outgoing.to)
+        if self.relaying.relay != before:
+            self.log_relay(before, heard_at)
         self.schedule()
 
+    def log_relay(self, before: str, heard_at: float) -> None:
+        """Log that another entry passes on notices."""
+        events.write(
+            Event.RELAY_CHANGED,
+            relay=self.relaying.relay,
+            before=before,
+            heard_ago_ms=round(self.clock.now() - heard_at, 1),
+            entries=len(self.relaying.domain.live_peers(self.clock.now())) + 1,
+        )
+
     def close(self) -> None:
         """Stop."""
         self.closed = True
