--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/installed
 export PYTHONPATH := .
 
-.PHONY: install check test demo bench-load bench-added bench-decisions bench-capacity soak lock generate bench-slots bench-membership
+.PHONY: install check test demo bench-load bench-added bench-relaying bench-decisions bench-capacity soak lock generate bench-slots bench-membership
 
 install:
 	@cmp -s requirements.lock $(STAMP) || $(MAKE) --no-print-directory $(STAMP)
@@ -31,6 +31,9 @@
 bench-load: install
 	$(PYTHON) -m bench.load
 
+bench-relaying: install
+	$(PYTHON) -m bench.relaying
+
 bench-decisions: install
 	$(PYTHON) -m bench.decisions
 
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -47,6 +47,31 @@
     assert start.fleet.retries.window_ms == 10_000.0
 
 
+@pytest.mark.parametrize(
+    ("limits", "strength"),
+    [
+        ({"cpu-share": 0.43, "cpu-cores": 1, "link-mbps": 20}, 0),
+        ({"cpu-share": 0.43, "cpu-cores": 1, "link-mbps": 1_000}, 0),
+        ({"cpu-share": 0.86, "cpu-cores": 1, "link-mbps": 1_000}, 1),
+        ({"cpu-share": 0.717, "cpu-cores": 3, "link-mbps": 200}, 2),
+        ({"cpu-share": 0.717, "cpu-cores": 3, "link-mbps": 10}, 0),
+    ],
+)
+def test_a_machine_is_as_strong_as_the_weaker_of_processor_and_link(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, limits: dict[str, float], strength: int
+) -> None:
+    settings = read(tmp_path, monkeypatch, FILE | {"limits": limits}).settings
+    assert settings.strength == strength
+
+
+def test_first_reads_are_spread_only_where_all_machines_start_together(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for bootstrap in (True, False):
+        start = read(tmp_path, monkeypatch, FILE | {"bootstrap": bootstrap})
+        assert (start.fleet.follow.first_read_ms > 0.0) is bootstrap
+
+
 def test_a_stop_ends_before_the_platform_kills(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
