--- a/cactusvane/http/connection.py
+++ b/cactusvane/http/connection.py
@@ -1,7 +1,8 @@
-"""Connections to targets, opened ahead of need and used for one exchange each.
+"""New connections to targets, opened ahead of need.
 
 HTTP/1.1 names no exchange in its answers, so a target that answers late, twice or at too great a
-length could put its answer under the next request of a reused connection. None is reused.
+length could put its answer under the next request. A connection from here has carried nothing
+yet; which ones may carry another exchange is said in `cactusvane.http.kept`.
 """
 
 import asyncio
