--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -314,3 +314,14 @@
     for _ in range(3):
         placement.learn(failed("t0"), 0.0)
     assert play_seconds(placement, frozenset(), 6.0)["t0"] > 0
+
+
+def test_targets_that_a_release_started_are_used_within_two_seconds() -> None:
+    """All VMs lost power during a release: of the two seconds before, a quarter was lost.
+
+    13 of 41 sound targets had got nothing in that time; a cold one gets nothing in this replay.
+    """
+    warm = [make_target(number) for number in range(4)]
+    cold = [make_target(number, warm_up_ms=3_000.0) for number in range(4, 6)]
+    names = play_seconds(make_placement(*warm, *cold), frozenset(), 2.0)
+    assert {"t4", "t5"} <= set(names)
