Say once whether an entry is heard, and when a relay tells and passes on

Relaying repeated the domain's own test of who was heard, its rank, and two moments each in next_at and step. Behaviour is the same; tests of placement and following pass as they were.

--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -84,6 +84,10 @@
     read_at: float = 0.0
     seen: int = 0
 
+    def is_heard(self, now: float) -> bool:
+        """Say whether it was heard lately."""
+        return self.notice is not None and now - self.heard <= PEER_MS
+
     @property
     def order(self) -> tuple[int, int]:
         """Its place in an order that is the same on all VMs, the strongest first."""
@@ -128,6 +132,7 @@
     ) -> None:
         self.strength = strength
         self.vm = vm
+        self.rank = hash_name(vm)
         self.failure_domain = failure_domain
         self.started = started
         self.random = random
@@ -289,18 +294,14 @@
 
     def live_peers(self, now: float) -> dict[str, Peer]:
         """Return the entries that were heard lately."""
-        return {
-            vm: peer
-            for vm, peer in self.peers.items()
-            if peer.notice is not None and now - peer.heard <= PEER_MS
-        }
+        return {vm: peer for vm, peer in self.peers.items() if peer.is_heard(now)}
 
     def group(self) -> dict[str, Peer]:
         """Return the other entries that share their loads with this one."""
         groups = count_groups(len(self.peers) + 1)
         if groups == 1:
             return self.peers
-        own = hash_name(self.vm) % groups
+        own = self.rank % groups
         return {vm: peer for vm, peer in self.peers.items() if peer.rank % groups == own}
 
     def observe(self, seen: Observation) -> None:
--- a/cactusvane/placement/relaying.py
+++ b/cactusvane/placement/relaying.py
@@ -20,7 +20,7 @@
 from msgspec.structs import replace
 
 from cactusvane.fleet.vm import Address
-from cactusvane.placement.domain import PEER_MS, Domain, Peer, hash_name
+from cactusvane.placement.domain import Domain, Peer
 from cactusvane.placement.messages import Batch, Message, Notice, Passed, Reading
 
 BEAT_MS = 1_000.0
@@ -99,7 +99,6 @@
         self.domain = domain
         self.own = own
         self.reading = reading
-        self.rank = hash_name(domain.vm)
         self.relay = domain.vm
         self.relay_since = now
         self.resting: dict[str, float] = {}
@@ -134,13 +133,21 @@
         """Return when `step` has something to do."""
         if self.forwards:
             return now
-        times = [self.due, self.told_at + BEAT_MS]
+        times = [self.tell_at()]
         if self.relays(now):
-            times.append(self.round_at + (ROUND_MS if self.news else QUIET_ROUND_MS))
+            times.append(self.next_round_at())
         if self.relay != self.domain.vm:
             times += [self.again_at, self.heard_relay_at() + SILENT_MS]
         return min(times)
 
+    def tell_at(self) -> float:
+        """Return when the next own notice is to be told, at the latest with the next beat."""
+        return min(self.due, self.told_at + BEAT_MS)
+
+    def next_round_at(self) -> float:
+        """Return when the next batch goes out, sooner where there is news."""
+        return self.round_at + (ROUND_MS if self.news else QUIET_ROUND_MS)
+
     def heard_relay_at(self) -> float:
         """Return when the relay was heard last, or was chosen."""
         return max(self.relay_since, self.batch_at.get(self.relay, -inf))
@@ -150,7 +157,7 @@
         forwards, self.forwards = self.forwards, []
         yield from forwards
         self.choose(now)
-        if now >= min(self.due, self.told_at + BEAT_MS):
+        if now >= self.tell_at():
             yield from self.tell(now)
         elif self.unreturned is not None and now >= self.again_at:
             yield from self.tell_again(self.unreturned, now)
@@ -161,9 +168,9 @@
         """Go by the first entry that is heard as the relay; the present one may have ended."""
         if self.is_silent(now):
             self.resting[self.relay] = now + REST_MS
-        first, order = self.domain.vm, (-self.domain.strength, self.rank)
+        first, order = self.domain.vm, (-self.domain.strength, self.domain.rank)
         for vm, peer in self.domain.group().items():
-            if not is_heard(peer, now) or now < self.resting.get(vm, -inf):
+            if not peer.is_heard(now) or now < self.resting.get(vm, -inf):
                 continue
             if peer.order < order:
                 first, order = vm, peer.order
@@ -209,7 +216,7 @@
 
     def pass_on(self, now: float) -> Iterator[Outgoing]:
         """Send a batch if it is time; each notice goes out in two of them, as one may be lost."""
-        if now < self.round_at + (ROUND_MS if self.news else QUIET_ROUND_MS):
+        if now < self.next_round_at():
             return
         self.round_at = now
         passed = [*self.before, *self.news]
@@ -232,7 +239,7 @@
 
     def next_helpers(self, peers: list[Peer], now: float) -> list[Peer]:
         """Return those that send this batch on, each in its turn; none where there are few."""
-        heard = [peer for peer in peers if is_heard(peer, now)]
+        heard = [peer for peer in peers if peer.is_heard(now)]
         if len(peers) <= 2 * SHARE or not heard:
             return []
         heard.sort(key=lambda peer: peer.rank)
@@ -303,8 +310,3 @@
         spent=earlier.spent if later.spent is None else later.spent,
         reading=earlier.reading if later.reading is None else later.reading,
     )
-
-
-def is_heard(peer: Peer, now: float) -> bool:
-    """Say whether an entry was heard lately."""
-    return peer.notice is not None and now - peer.heard <= PEER_MS
