--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -22,6 +22,7 @@
 from cactusvane.settings import HttpLimits, Settings
 from tests.adapter.store_standin import StoreStandin
 from tests.adapter.test_decoder import CONFIGURATION
+from tests.processes.harness import free_port
 
 ANY = Address("127.0.0.1", 0)
 LIMITS = HttpLimits(connect_ms=300, unframed=True)
@@ -113,7 +114,7 @@
             self.store.put("servers", target.name, target.row())
 
     async def start_process(self, name: str, peers: tuple[Address, ...] = ()) -> FleetProcess:
-        ports = [await free_port() for _ in range(3)]
+        ports = [Address("127.0.0.1", free_port()) for _ in range(3)]
         settings = Settings(
             name,
             "gobabis",
@@ -143,13 +144,6 @@
         await self.store.server.drain(0)
 
 
-async def free_port() -> Address:
-    server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
-    address = Address(*server.sockets[0].getsockname())
-    server.close()
-    return address
-
-
 async def until(condition: Callable[[], bool], seconds: float = 3.0) -> None:
     async with asyncio.timeout(seconds):
         while not condition():
--- a/tests/peers/test_node.py
+++ b/tests/peers/test_node.py
@@ -1,7 +1,6 @@
 """Nodes of several VMs in one process, with gRPC on loopback."""
 
 import asyncio
-import socket
 from contextlib import suppress
 from random import Random
 
@@ -22,6 +21,7 @@
 from cactusvane.pool.messages import Ejection, ReportEvidence, TargetCounts
 from cactusvane.settings import Settings
 from tests.fakes import FakePlatform
+from tests.processes.harness import free_port
 
 DOMAINS = ("Gobabis", "Witvlei", "Leonardville")
 SERVICE = Service(
@@ -33,13 +33,6 @@
 )
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 class OneVm:
     def __init__(self, number: int, platform: FakePlatform) -> None:
         address = Address("127.0.0.1", free_port())
