Say once how the relay is told and what goes with a notice that is passed on

Telling first and telling again were the same lines, as was the rule that only full notices carry their sender's address.

--- a/cactusvane/placement/relaying.py
+++ b/cactusvane/placement/relaying.py
@@ -160,7 +160,7 @@
         if now >= self.tell_at():
             yield from self.tell(now)
         elif self.unreturned is not None and now >= self.again_at:
-            yield from self.tell_again(self.unreturned, now)
+            yield from self.tell_relay(self.unreturned, now)
         if self.relays(now):
             yield from self.pass_on(now)
 
@@ -202,14 +202,13 @@
             self.greeting = []
         if self.relay == self.domain.vm:
             self.unreturned = None
-            self.news.append(Passed(notice, self.own if notice.full else None))
+            self.news.append(passed_on(notice, self.own))
         else:
             self.unreturned = notice
-            self.again_at = now + AGAIN_MS
-            yield Outgoing(notice, (self.domain.peers[self.relay].address,))
+            yield from self.tell_relay(notice, now)
 
-    def tell_again(self, notice: Notice, now: float) -> Iterator[Outgoing]:
-        """Tell the latest notice once more, since it or the batch with it was lost."""
+    def tell_relay(self, notice: Notice, now: float) -> Iterator[Outgoing]:
+        """Tell the relay a notice, and once more later unless it comes back."""
         self.again_at = now + AGAIN_MS
         if self.relay in self.domain.peers:
             yield Outgoing(notice, (self.domain.peers[self.relay].address,))
@@ -258,8 +257,7 @@
             case Notice():
                 self.asked_at = now
                 self.domain.meet(message.sender, address, now)
-                known = address if message.full else None
-                told = Passed(message, known)
+                told = passed_on(message, address)
                 if not self.take(told, now):
                     self.return_again(told)
                     return []
@@ -301,6 +299,11 @@
             self.again_at = inf
 
 
+def passed_on(notice: Notice, address: Address) -> Passed:
+    """Return a notice as it is passed on; only a full one says where its sender takes notices."""
+    return Passed(notice, address if notice.full else None)
+
+
 def joined(earlier: Notice, later: Notice) -> Notice:
     """Return the later of two notices with what only the earlier one tells."""
     return replace(
