Log how long a target was unused and why it was chosen; count the unused

Cause: from the log of an attempt one could not tell whether its target was the cheapest or was tried since nobody had used it, nor for how long, nor when it had failed last; so rests that are too many, cold targets and missing callers looked alike. Change: inputs hold unused_ms and failed_ago_ms, the attempt says why, and /metrics counts usable and unused targets of the failure domain by service. No decision changes.

--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -21,7 +21,7 @@
 from cactusvane.http.stream import RelayedStream
 from cactusvane.metrics import KindRecord
 from cactusvane.outcome import Outcome
-from cactusvane.placement.messages import Demand, Inputs
+from cactusvane.placement.messages import Demand, Inputs, Why
 from cactusvane.report.order import in_good_order, objective_of
 from cactusvane.request.admission import Ticket
 from cactusvane.request.attempts import (
@@ -74,6 +74,8 @@
         How long it took.
     inputs
         What the target was chosen by.
+    why
+        Why it was chosen by that; None where nothing tells.
     rested_ms
         How long its connection had rested; 0 for a new one, None for none.
     """
@@ -83,6 +85,7 @@
     outcome: str
     latency_ms: float
     inputs: Inputs | None
+    why: Why | None
     rested_ms: float | None
 
 
@@ -229,6 +232,7 @@
             outcome=outcome.value,
             latency_ms=round(latency, 1),
             inputs=place.inputs if place else None,
+            why=place.why if place else None,
             rested_ms=self.rested_ms,
         )
         if outcome is not Outcome.SERVED:
--- a/cactusvane/exposition.py
+++ b/cactusvane/exposition.py
@@ -4,7 +4,7 @@
 """
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client.core import CounterMetricFamily, SummaryMetricFamily
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, SummaryMetricFamily
 from prometheus_client.exposition import generate_latest
 from prometheus_client.registry import Collector, CollectorRegistry
 
@@ -12,7 +12,7 @@
 
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
 
-Families = list[CounterMetricFamily | SummaryMetricFamily]
+Families = list[CounterMetricFamily | GaugeMetricFamily | SummaryMetricFamily]
 
 
 class RecorderCollector(Collector):
@@ -39,7 +39,7 @@
     return generate_latest(registry)
 
 
-def collect(recorder: Recorder) -> list[CounterMetricFamily | SummaryMetricFamily]:
+def collect(recorder: Recorder) -> Families:
     """Return everything in the form of the Prometheus client."""
     labels = ("service", "kind")
     requests = CounterMetricFamily(
@@ -66,7 +66,19 @@
             statuses.add_metric((*key, f"{group}xx"), count)
         for outcome, count in record.attempts.items():
             attempts.add_metric((*key, outcome.value), count)
-    return [requests, statuses, attempts, refused, ejections, *summaries(recorder)]
+    counters = [requests, statuses, attempts, refused, ejections]
+    return [*counters, target_counts(recorder), *summaries(recorder)]
+
+
+def target_counts(recorder: Recorder) -> GaugeMetricFamily:
+    """Return how many targets near by may take work, and how many of them nobody used lately."""
+    family = GaugeMetricFamily(
+        "cactusvane_targets", "Targets of this failure domain", labels=("service", "state")
+    )
+    for service, counts in recorder.targets.items():
+        family.add_metric((service, "usable"), counts.usable)
+        family.add_metric((service, "unused"), counts.unused)
+    return family
 
 
 def summaries(recorder: Recorder) -> list[SummaryMetricFamily]:
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -350,6 +350,7 @@
             case "GET", "/ready":
                 return answer_ready(self.ready)
             case "GET", "/metrics":
+                self.recorder.targets = self.domain.count_targets(self.clock.now())
                 return answer_metrics(self.recorder)
             case _:
                 raise bad_request("no-route", "there are /ready and /metrics", 404)
--- a/cactusvane/metrics.py
+++ b/cactusvane/metrics.py
@@ -77,6 +77,22 @@
         self.waited.record_value(max(1, int(ms * US_PER_MS)))
 
 
+@dataclass(frozen=True, slots=True)
+class TargetCounts:
+    """Targets of one service that may take work, in this VM's failure domain.
+
+    Parameters
+    ----------
+    usable
+        All of them.
+    unused
+        Those that no entry of the failure domain used for two seconds.
+    """
+
+    usable: int
+    unused: int
+
+
 class Recorder:
     """All counters of one daemon, by service and kind.
 
@@ -92,6 +108,7 @@
         self.kinds: dict[tuple[str, str], KindRecord] = {}
         self.refused: dict[str, int] = {}
         self.ejections: dict[str, int] = {}
+        self.targets: dict[str, TargetCounts] = {}
 
     def kind(self, service: str, kind: str) -> KindRecord:
         """Return the record of one kind of one service."""
--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -14,6 +14,7 @@
 
 from cactusvane.configuration.model import Configuration
 from cactusvane.fleet.vm import Address, Vm
+from cactusvane.metrics import TargetCounts
 from cactusvane.placement.messages import Notice, Observation, Reading
 from cactusvane.placement.placement import Placement
 from cactusvane.placement.retries import RetryLimit, SharedRetries, Spending
@@ -304,6 +305,10 @@
         own = self.rank % groups
         return {vm: peer for vm, peer in self.peers.items() if peer.rank % groups == own}
 
+    def count_targets(self, now: float) -> dict[str, TargetCounts]:
+        """Return how many targets near by may take work, and how many nobody used, by service."""
+        return {name: each.count_targets(now) for name, each in self.placements.items()}
+
     def observe(self, seen: Observation) -> None:
         """Keep an observation for the next notice."""
         self.unsent.append(seen)
--- a/cactusvane/placement/messages.py
+++ b/cactusvane/placement/messages.py
@@ -4,6 +4,7 @@
 """
 
 from dataclasses import dataclass
+from enum import Enum
 
 import msgspec
 
@@ -58,6 +59,10 @@
         Expected wait in the target's queue.
     evidence_age_ms
         Age of the latest outcome; None without any.
+    unused_ms
+        How long no entry of the failure domain had sent it a request.
+    failed_ago_ms
+        How long ago a request failed there last; None for never.
     """
 
     load: int
@@ -66,6 +71,16 @@
     slowness: float
     wait_ms: float
     evidence_age_ms: float | None
+    unused_ms: float
+    failed_ago_ms: float | None
+
+
+class Why(Enum):
+    """Why a request goes to a target."""
+
+    CHEAPEST = "cheapest"
+    UNUSED = "unused"
+    """Nobody used it for long."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +90,7 @@
     name: str
     address: Address
     inputs: Inputs
+    why: Why = Why.CHEAPEST
 
 
 @dataclass(frozen=True, slots=True)
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -13,6 +13,7 @@
 from random import Random
 
 from cactusvane.fleet.vm import Address, Vm
+from cactusvane.metrics import TargetCounts
 from cactusvane.outcome import Outcome
 from cactusvane.placement.evidence import RecentOutcomes
 from cactusvane.placement.messages import (
@@ -23,6 +24,7 @@
     Place,
     Reject,
     Wait,
+    Why,
 )
 from cactusvane.placement.rest import RestLimit
 from cactusvane.placement.settings import PlacementSettings
@@ -35,6 +37,9 @@
 TIE_SHARE = 0.05
 """Random part of a target's cost, as a share of the work, so that equal targets share evenly."""
 
+UNUSED_MS = 2_000.0
+"""A target without a request for so long counts as unused in the metrics."""
+
 
 class Placement:
     """The targets of one service, as one entry sees them.
@@ -113,7 +118,8 @@
             return self.wait_or_reject(demand, "no-target", demand.latency_ms, now)
         objective = min(demand.latency_ms, demand.deadline - now)
         work = self.work.expected(demand.kind, objective)
-        candidates = self.left_out(usable, now) or self.forgotten(usable, demand, now) or usable
+        unused = self.left_out(usable, now) or self.forgotten(usable, demand, now)
+        candidates = unused or usable
         most_rest_ms = self.rest.most_ms(demand.idempotent, now)
         known = [(target, self.inputs(target, work, now)) for target in candidates]
         best, inputs = min(
@@ -125,7 +131,8 @@
             return Reject("too-late", self.retry_after(inputs.wait_ms))
         if inputs.wait_ms > self.most_wait(demand):
             return self.wait_or_reject(demand, "no-room", inputs.wait_ms, now)
-        return Place(best.vm.name, best.vm.address, inputs)
+        why = Why.UNUSED if unused else Why.CHEAPEST
+        return Place(best.vm.name, best.vm.address, inputs, why)
 
     def is_hopeless(self, demand: Demand, inputs: Inputs, work: float, now: float) -> bool:
         """Say whether a request has too little time left for the target that suits it best.
@@ -241,8 +248,26 @@
         ahead = max(0, target.load + 1 - target.slots)
         wait = ahead / target.slots * self.work.mean(work) * slowness
         failure_share = target.evidence.failure_share(now)
-        age = target.evidence.age(now)
-        return Inputs(target.load, target.slots, failure_share, slowness, wait, age)
+        return Inputs(
+            load=target.load,
+            slots=target.slots,
+            failure_share=failure_share,
+            slowness=slowness,
+            wait_ms=wait,
+            evidence_age_ms=target.evidence.age(now),
+            unused_ms=now - target.used_at,
+            failed_ago_ms=target.failed_ago(now),
+        )
+
+    def count_targets(self, now: float) -> TargetCounts:
+        """Return how many targets near by may take work, and how many nobody used lately."""
+        near = [
+            target
+            for target in self.targets.values()
+            if target.takes_work(now) and target.vm.failure_domain == self.failure_domain
+        ]
+        unused = sum(now - target.used_at > UNUSED_MS for target in near)
+        return TargetCounts(len(near), unused)
 
     def started(self, name: str, now: float) -> None:
         """Note that a request was sent to a target."""
--- a/cactusvane/placement/target.py
+++ b/cactusvane/placement/target.py
@@ -94,6 +94,10 @@
         self.evidence.add_bad(weight, now)
         self.failed_at = now
 
+    def failed_ago(self, now: float) -> float | None:
+        """Return how long ago a request failed here, in milliseconds; None for never."""
+        return None if self.failed_at == -inf else now - self.failed_at
+
     def reached(self) -> None:
         """Note that a connection was made."""
         self.failures_in_a_row = 0
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,10 +2,12 @@
 
 from cactusvane.clock import ManualClock
 from cactusvane.configuration.model import Configuration, Route, Service
-from cactusvane.fleet.vm import Address
+from cactusvane.fleet.vm import Address, Vm
 from cactusvane.keeper_entry import KeeperEntry
 from cactusvane.metrics import Recorder
 from cactusvane.outcome import Outcome
+from cactusvane.placement.placement import Placement
+from cactusvane.placement.settings import PlacementSettings
 from cactusvane.pool.messages import Ejected
 from cactusvane.settings import Settings
 from cactusvane.verdict import Verdict
@@ -28,6 +30,18 @@
     assert f"cactusvane_added_ms_count{{{labels}}} 1.0" in text
 
 
+def test_targets_that_nobody_used_are_counted_for_their_service():
+    placement = Placement("Gobabis", Random(1), PlacementSettings())
+    vms = [Vm(f"t{number}", Address("10.0.0.1", number), "Gobabis") for number in range(3)]
+    placement.list_targets([*vms, Vm("far", Address("10.0.0.2", 1), "Witvlei")], 0.0)
+    placement.started("t1", 1_500.0)
+    recorder = Recorder()
+    recorder.targets = {"records": placement.count_targets(2_500.0)}
+    text = recorder.text().decode()
+    assert 'cactusvane_targets{service="records",state="usable"} 3.0' in text
+    assert 'cactusvane_targets{service="records",state="unused"} 2.0' in text
+
+
 def test_an_ejection_is_counted_for_its_service():
     settings = Settings("e1", "Gobabis", ANY, ANY, ANY, ANY)
     entry = KeeperEntry(settings, ManualClock(), Random(1), Recorder())
