Failing test: sound targets unused for two seconds while others fail by themselves

A replay without sockets: one failure domain of a grown deployment, 14 targets that turn gray by themselves, 54 requests a second that may not be repeated, news 60 ms late.

--- /dev/null
+++ b/tests/placement/replay.py
@@ -0,0 +1,206 @@
+"""Entries of one failure domain and targets that fail by themselves, on a virtual clock.
+
+No sockets: `Domain` decides, and what entries tell each other arrives late.
+"""
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+
+from cactusvane.configuration.model import Configuration, Service
+from cactusvane.fleet.vm import Address, Vm
+from cactusvane.outcome import Outcome
+from cactusvane.placement.domain import Domain
+from cactusvane.placement.messages import Demand, Observation, Place, Reading
+from cactusvane.placement.placement import Placement
+from cactusvane.placement.settings import PlacementSettings
+from tests.placement.fixtures import NEAR
+
+SPAN_MS = 2_000.0
+"""The floor holds over each span of this length; a target that failed is sound again after it."""
+
+SERVICE = Service("records", (), (), 1, 1, 1)
+READING = Reading(True, 10.0, None, {})
+FAILURE_MS = 2.0
+"""Time in which a target fails."""
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What callers ask and how targets do.
+
+    Parameters
+    ----------
+    vms
+        Targets.
+    entries
+        Entries of the failure domain.
+    per_s
+        Requests of all entries in a second.
+    work_ms
+        Mean time of an answer.
+    idempotent
+        Whether requests may be sent again.
+    gray_per_s, gray_ms
+        How often a target begins to fail by itself, and for how long.
+    gray_share
+        Share of requests that fail meanwhile.
+    news_ms
+        Time until entries hear of each other.
+    length_ms
+        Length of the replay.
+    """
+
+    vms: tuple[Vm, ...]
+    entries: int = 8
+    per_s: float = 54.0
+    work_ms: float = 250.0
+    idempotent: bool = False
+    gray_per_s: float = 0.05
+    gray_ms: float = 5_000.0
+    gray_share: float = 0.6
+    news_ms: float = 60.0
+    length_ms: float = 14_000.0
+
+
+@dataclass(slots=True)
+class Record:
+    """Uses and failures of targets, in milliseconds.
+
+    Parameters
+    ----------
+    load
+        What was played.
+    uses, failures
+        When each target got a request, and when one failed.
+    asked, failed
+        Requests and those of them that failed.
+    """
+
+    load: Load
+    uses: dict[str, list[float]] = field(default_factory=dict)
+    failures: dict[str, list[float]] = field(default_factory=dict)
+    asked: int = 0
+    failed: int = 0
+
+    def unused_share(self, since: float, forgiven_ms: float) -> float:
+        """Return the share of sound targets without a request in the span from `since` on.
+
+        Sound are those without a failure from `forgiven_ms` before the span to its end.
+        """
+        until = since + SPAN_MS
+        sound = [
+            vm.name
+            for vm in self.load.vms
+            if not among(self.failures.get(vm.name, ()), since - forgiven_ms, until)
+        ]
+        unused = [name for name in sound if not among(self.uses.get(name, ()), since, until)]
+        return len(unused) / len(sound) if sound else 0.0
+
+    def worst(self, forgiven_ms: float) -> float:
+        """Return the largest share unused over all spans after the first second."""
+        steps = int((self.load.length_ms - SPAN_MS - 1_000.0) / 50.0)
+        return max(self.unused_share(1_000.0 + 50.0 * step, forgiven_ms) for step in range(steps))
+
+
+def among(times: list[float] | tuple[float, ...], since: float, until: float) -> bool:
+    """Say whether one of `times` lies in a span."""
+    return any(since <= time < until for time in times)
+
+
+class Replay:
+    """One run."""
+
+    def __init__(self, load: Load, seed: int, settings: PlacementSettings) -> None:
+        self.load = load
+        self.random = Random(seed)
+        self.now = 0.0
+        self.order = count()
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.record = Record(load)
+        self.gray_until = {vm.name: 0.0 for vm in load.vms}
+        self.domains = [self.make_entry(number, settings) for number in range(load.entries)]
+
+    def make_entry(self, number: int, settings: PlacementSettings) -> Domain:
+        """Return an entry that knows all targets."""
+        domain = Domain(f"e{number}", NEAR, 100, Random(f"{number}"), settings)
+        domain.list_targets({"records": self.load.vms}, 0.0)
+        domain.configure(Configuration((SERVICE,)), 0.0)
+        return domain
+
+    def after(self, delay: float, action: Callable[[], None]) -> None:
+        """Do something later."""
+        heapq.heappush(self.events, (self.now + delay, next(self.order), action))
+
+    def run(self) -> Record:
+        """Play to the end."""
+        self.after(0.0, self.arrive)
+        for vm in self.load.vms:
+            self.after(self.random.expovariate(self.load.gray_per_s) * 1_000.0, self.gray(vm))
+        while self.events:
+            self.now, _, action = heapq.heappop(self.events)
+            if self.now >= self.load.length_ms:
+                break
+            action()
+        return self.record
+
+    def gray(self, vm: Vm) -> Callable[[], None]:
+        """Return what makes a target fail for some time, again and again."""
+
+        def turn() -> None:
+            lasts = self.load.gray_ms * self.random.uniform(0.4, 1.6)
+            self.gray_until[vm.name] = self.now + lasts
+            pause = self.random.expovariate(self.load.gray_per_s) * 1_000.0
+            self.after(lasts + pause, turn)
+
+        return turn
+
+    def arrive(self) -> None:
+        """Take in a request at any entry, and wait for the next."""
+        self.after(self.random.expovariate(self.load.per_s) * 1_000.0, self.arrive)
+        self.send(self.random.choice(self.domains))
+
+    def send(self, domain: Domain) -> None:
+        """Let an entry place a request."""
+        placement = domain.placements["records"]
+        demand = Demand("k", 1, self.load.idempotent, self.now, self.now + 2_500.0, 1_000.0)
+        decision = placement.place(demand, frozenset[Address](), self.now)
+        self.record.asked += 1
+        if not isinstance(decision, Place):
+            self.record.failed += 1
+            return
+        name = decision.name
+        self.record.uses.setdefault(name, []).append(self.now)
+        placement.started(name, self.now)
+        gray = self.now < self.gray_until[name]
+        fails = gray and self.random.random() < self.load.gray_share
+        took = FAILURE_MS if fails else self.load.work_ms * self.random.lognormvariate(-0.18, 0.6)
+        self.tell(domain)
+        self.after(took, lambda: self.end(domain, placement, name, fails, took))
+
+    def end(
+        self, domain: Domain, placement: Placement, name: str, fails: bool, took: float
+    ) -> None:
+        """End an attempt."""
+        if fails:
+            self.record.failed += 1
+            self.record.failures.setdefault(name, []).append(self.now)
+        outcome = Outcome.FAILED if fails else Outcome.SERVED
+        seen = Observation(name, "k", outcome, took)
+        placement.ended(seen, self.now)
+        domain.observe(seen)
+        self.tell(domain)
+
+    def tell(self, domain: Domain) -> None:
+        """Let the other entries hear of one."""
+        notice = domain.next_notice(READING, self.now)
+        address = Address("10.0.1.1", self.domains.index(domain))
+
+        def hear() -> None:
+            for other in self.domains:
+                if other is not domain:
+                    other.hear(notice, address, self.now)
+
+        self.after(self.load.news_ms, hear)
