A request that hangs keeps its target from looking used

What callers saw: nothing by itself; targets got no request for 2 s and more while the entries took them to be in use, so that no pause ran. Cause: each notice set used_at of every target it names in flight, also for a request sent long before; with one entry or another telling something each few milliseconds a request that lasts keeps its target 'used' to its end. The test failed before: used_at 2200.0 instead of 0.0. Now a notice counts as a use only where it shows more requests than before, less those it says ended.

--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -4,6 +4,7 @@
 good by the next: it holds all that is in flight.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from math import inf
@@ -195,11 +196,16 @@
             if placement is not None:
                 placement.targets[name].others += sign * count
 
-    def note_use(self, notice: Notice, now: float) -> None:
-        """Note which targets another entry uses."""
-        for name in notice.in_flight:
+    def note_use(self, notice: Notice, last: Notice | None, now: float) -> None:
+        """Note to which targets another entry sent requests since its last notice.
+
+        One that only goes on with what it had is not used: a request may hang there.
+        """
+        before = last.in_flight if last is not None and last.started == notice.started else {}
+        ended = Counter(seen.target for seen in notice.seen if seen.outcome is not None)
+        for name, count in notice.in_flight.items():
             placement = self.by_target.get(name)
-            if placement is not None:
+            if placement is not None and count > before.get(name, 0) - ended[name]:
                 placement.targets[name].used_at = now
 
     def note_spending(self, notice: Notice, now: float) -> None:
@@ -263,7 +269,7 @@
         if notice.reading is not None:
             peer.reading, peer.read_at = notice.reading, now
         self.add_load(notice, 1)
-        self.note_use(notice, now)
+        self.note_use(notice, last, now)
         self.note_spending(notice, now)
         if last is not None and last.started != notice.started:
             peer.seen = 0
--- a/tests/placement/test_domain.py
+++ b/tests/placement/test_domain.py
@@ -133,3 +133,17 @@
     assert not domain.next_notice(Reading(True, 150.0, None, {"a": 2}), 1_300.0).full
     assert domain.next_notice(Reading(False, 250.0, None, {"a": 2}), 1_400.0).full
     assert domain.next_notice(Reading(False, 800.0, None, {"a": 2}), 1_950.0).full
+
+
+def test_a_target_whose_one_request_hangs_does_not_look_used_by_notices() -> None:
+    """Targets whose requests hung got nothing for 2 s and were taken to be in use."""
+    domain = make_domain()
+    domain.hear(notice(1, t0=1, t1=1), PEER, 0.0)
+    for number in range(2, 12):
+        now = 200.0 * number
+        ended = (Observation("t1", "read", Outcome.SERVED, 150.0),)
+        told = replace(notice(number, t0=1, t1=1), seen=ended, seen_before=number - 2)
+        domain.hear(told, PEER, now)
+    targets = domain.placements["records"].targets
+    assert targets["t0"].used_at == 0.0
+    assert targets["t1"].used_at == now
