Keep the floor: bound how many targets of a service rest, and for how long

Cause: each target rested by itself, up to 1.5 s, 3.5 s or 6.5 s after it was used last, by three rules with thresholds of their own; nothing bounded how many rested, and the pauses are longer than the span of the promise. Class: a promise proved for one engine (pool/floor.py) and left to heuristics in the other. Change: placement/floor.py in place of the three pauses. Targets that did not fail lately are the capacity; at most 0.6 of what the floor leaves of it, the worst that failed, may rest for 4 s; all others are used again after 1 s, by work that may not be repeated after 1.25 s, each by a few tries a second of all entries together rather than by all at once. A target where the request would be late is not tried. The share comes from the settings, which were passed over before.

--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -46,6 +46,7 @@
 from cactusvane.placement.messages import Passed, Reading
 from cactusvane.placement.placer import SharedPlacer
 from cactusvane.placement.retries import RetryLimit
+from cactusvane.placement.settings import PlacementSettings
 from cactusvane.settings import Settings
 
 CONFIGURATION_TABLE = "configuration"
@@ -87,10 +88,13 @@
         For each service.
     follow
         How soon a change must be known everywhere.
+    placement
+        Which share of a service's targets stays in use, and how requests are placed.
     """
 
     retries: RetryLimit
     follow: FollowSettings
+    placement: PlacementSettings
 
 
 class FleetProcess:
@@ -128,6 +132,7 @@
             settings.failure_domain,
             started,
             self.random,
+            fleet.placement,
             limit=fleet.retries,
             strength=settings.strength,
         )
--- a/cactusvane/placement/evidence.py
+++ b/cactusvane/placement/evidence.py
@@ -6,7 +6,7 @@
 answers came before them, and a target that is left alone is forgiven within seconds.
 """
 
-from math import exp, inf
+from math import exp, inf, log
 
 from cactusvane.clock import MS_PER_SECOND
 from cactusvane.placement.settings import PlacementSettings
@@ -138,3 +138,8 @@
     def failure_share(self, now: float) -> float:
         """Return the share of failures, 0 without any outcome."""
         return self.bad / self.all if self.all else 0.0
+
+    def per_s(self, now: float) -> float:
+        """Return how many outcomes came in a second lately."""
+        factor: float = 0.5 ** (max(0.0, now - self.at) / RECENT_MS)
+        return self.all * factor * log(2.0) * MS_PER_SECOND / RECENT_MS
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -15,6 +15,7 @@
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.metrics import TargetCounts
 from cactusvane.outcome import Outcome
+from cactusvane.placement import floor
 from cactusvane.placement.evidence import RecentOutcomes
 from cactusvane.placement.messages import (
     Decision,
@@ -116,12 +117,19 @@
         ]
         if not usable:
             return self.wait_or_reject(demand, "no-target", demand.latency_ms, now)
+        due = [] if tried else self.due(usable, demand, now)
+        if due:
+            decision = self.choose(due, Why.UNUSED, demand, now)
+            if isinstance(decision, Place):
+                return decision
+        return self.choose(usable, Why.CHEAPEST, demand, now)
+
+    def choose(self, targets: list[Target], why: Why, demand: Demand, now: float) -> Decision:
+        """Return what would become of a request if it may only go to some targets."""
         objective = min(demand.latency_ms, demand.deadline - now)
         work = self.work.expected(demand.kind, objective)
-        unused = self.left_out(usable, now) or self.forgotten(usable, demand, now)
-        candidates = unused or usable
         most_rest_ms = self.rest.most_ms(demand.idempotent, now)
-        known = [(target, self.inputs(target, work, now)) for target in candidates]
+        known = [(target, self.inputs(target, work, now)) for target in targets]
         best, inputs = min(
             known,
             key=lambda each: self.cost(each[0], each[1], demand, work, now)
@@ -131,7 +139,6 @@
             return Reject("too-late", self.retry_after(inputs.wait_ms))
         if inputs.wait_ms > self.most_wait(demand):
             return self.wait_or_reject(demand, "no-room", inputs.wait_ms, now)
-        why = Why.UNUSED if unused else Why.CHEAPEST
         return Place(best.vm.name, best.vm.address, inputs, why)
 
     def is_hopeless(self, demand: Demand, inputs: Inputs, work: float, now: float) -> bool:
@@ -150,43 +157,11 @@
         latest = objective + share * (demand.deadline - objective)
         return now + inputs.wait_ms + usual > min(latest, demand.deadline)
 
-    def left_out(self, usable: list[Target], now: float) -> list[Target]:
-        """Return the targets near by that nobody used for long while the service does badly.
-
-        Where many requests fail, what speaks against a target may be old, or wrong, and those in
-        use are no better. One that failed when it was used last is left alone for longer.
-        """
-        if self.outcomes.failure_share(now) < self.settings.badly_share:
-            return []
-        unused_since = now - self.settings.unused_ms
-        failed_before = now - self.settings.failed_ms
-        return [
-            target
-            for target in usable
-            if target.used_at < unused_since
-            and target.failed_at < failed_before
-            and target.vm.failure_domain == self.failure_domain
-        ]
-
-    def forgotten(self, usable: list[Target], demand: Demand, now: float) -> list[Target]:
-        """Return the targets near by that it is time to try again, however they did before.
-
-        What is lost with VMs is seen by nobody, so that a service may do worse than any entry
-        knows, and targets that are well again would stay out. Requests that may be repeated go
-        first. The longer a target was not used the likelier it is tried, so that the entries do
-        not all try it in the same moment.
-        """
-        settings = self.settings
-        pause = settings.forgotten_ms
-        if not demand.idempotent:
-            pause += settings.forgotten_more_ms
-        return [
-            target
-            for target in usable
-            if target.vm.failure_domain == self.failure_domain
-            and now - target.used_at > pause
-            and self.random.random() * settings.forgotten_ramp_ms < now - target.used_at - pause
-        ]
+    def due(self, usable: list[Target], demand: Demand, now: float) -> list[Target]:
+        """Return the targets near by that this request may try since nobody used them for long."""
+        near = [target for target in usable if target.vm.failure_domain == self.failure_domain]
+        due = floor.due(near, demand.idempotent, self.settings, now)
+        return floor.take_chance(due, self.outcomes.per_s(now), self.settings, self.random)
 
     def wait_or_reject(
         self, demand: Demand, reason: str, wait_ms: float, now: float
--- a/cactusvane/placement/settings.py
+++ b/cactusvane/placement/settings.py
@@ -13,19 +13,19 @@
         Shares of failed requests of a target that is good and of one that is bad.
     onsets_per_s, recoveries_per_s
         How often a good target turns bad and a bad one good; gray failures last some seconds.
-    unused_ms
-        A target that may take work gets some at least so often while its service does badly.
+    floor_share
+        Share of the targets near by that stay in use, however they do.
+    spared_share
+        The part of the others that may rest for long; what no entry sees takes the rest.
+    unused_ms, unused_more_ms
+        After so long without a request a target is used again, by a request that may be repeated,
+        and this much later by any other.
+    spared_ms
+        The same for targets that may rest for long.
     failed_ms
-        A target that failed when it was used last is left alone at least so long: gray failures
-        last some seconds, and what a target did two seconds ago no longer excuses that nobody
-        uses it.
-    forgotten_ms, forgotten_more_ms
-        A target that nobody used for so long is tried in any case, by a request that may be
-        repeated, and this much later by any other.
-    forgotten_ramp_ms
-        Time from then on in which the share of requests that try it grows to all.
-    badly_share
-        Share of failed requests from which a service does badly.
+        A target that failed by itself counts as capacity again after this time.
+    tries_per_s
+        How often the entries together try a target that is to be used again.
     half_life_ms
         Time in which the slowness of answers loses half of its weight.
     most_slowness
@@ -77,12 +77,13 @@
     bad_failures: float = 0.6
     onsets_per_s: float = 0.01
     recoveries_per_s: float = 0.25
-    unused_ms: float = 1_500.0
-    failed_ms: float = 3_500.0
-    forgotten_ms: float = 3_500.0
-    forgotten_more_ms: float = 1_000.0
-    forgotten_ramp_ms: float = 2_000.0
-    badly_share: float = 0.08
+    floor_share: float = 0.7
+    spared_share: float = 0.6
+    unused_ms: float = 1_000.0
+    unused_more_ms: float = 250.0
+    spared_ms: float = 4_000.0
+    failed_ms: float = 2_000.0
+    tries_per_s: float = 6.0
     half_life_ms: float = 2_500.0
     most_slowness: float = 4.0
     prior_weight: float = 1.0
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -18,6 +18,7 @@
 from cactusvane.http.fetch import fetch
 from cactusvane.http.message import Answer, Headers
 from cactusvane.placement.retries import RetryLimit
+from cactusvane.placement.settings import PlacementSettings
 from cactusvane.request.budget import RetrySettings
 from cactusvane.settings import HttpLimits, Settings
 from tests.adapter.store_standin import StoreStandin
@@ -130,7 +131,7 @@
         )
         store = Store(self.store_address)
         platform = PlatformParts(store, Decoder(), store, VOCABULARY)
-        limits = FleetLimits(RetryLimit(extra=60.0), FOLLOW)
+        limits = FleetLimits(RetryLimit(extra=60.0), FOLLOW, PlacementSettings())
         process = FleetProcess(settings, limits, platform, lambda: replace(settings, peers=()))
         self.processes.append(process)
         self.running.append(asyncio.ensure_future(process.run()))
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -20,7 +20,13 @@
     "listen": {"front": "10.1.0.18:8381", "ready": "10.1.0.18:8388", "control": "10.1.0.18:8382"},
     "internal-ports": [7200, 7215],
     "seed-nodes": ["10.1.0.18:8382", "10.2.0.34:8382"],
-    "bounds": {"grace-s": 6, "retry-budget-ratio": 0.2, "budget-slack": 64, "new": 1},
+    "bounds": {
+        "grace-s": 6,
+        "retry-budget-ratio": 0.2,
+        "budget-slack": 64,
+        "floor-share": 0.8,
+        "new": 1,
+    },
     "platform": {"address": "10.200.1.7:8384", "form": "table"},
     "data-dir": None,
 }
@@ -45,6 +51,7 @@
     assert start.fleet.retries.extra < 64
     assert start.fleet.retries.share < 0.2
     assert start.fleet.retries.window_ms == 10_000.0
+    assert start.fleet.placement.floor_share == 0.8
 
 
 @pytest.mark.parametrize(
--- a/tests/placement/replay.py
+++ b/tests/placement/replay.py
@@ -4,7 +4,8 @@
 """
 
 import heapq
-from collections.abc import Callable
+from bisect import bisect_left
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from itertools import count
 from random import Random
@@ -105,9 +106,10 @@
         return max(self.unused_share(1_000.0 + 50.0 * step, forgiven_ms) for step in range(steps))
 
 
-def among(times: list[float] | tuple[float, ...], since: float, until: float) -> bool:
-    """Say whether one of `times` lies in a span."""
-    return any(since <= time < until for time in times)
+def among(times: Sequence[float], since: float, until: float) -> bool:
+    """Say whether one of `times`, which are in order, lies in a span."""
+    first = bisect_left(times, since)
+    return first < len(times) and times[first] < until
 
 
 class Replay:
--- a/tests/placement/test_floor.py
+++ b/tests/placement/test_floor.py
@@ -3,9 +3,12 @@
 from dataclasses import replace
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
+from cactusvane.placement.messages import Place, Why
 from cactusvane.placement.settings import PlacementSettings
-from tests.placement.fixtures import make_target
+from tests.placement.fixtures import FAR, failed, make_demand, make_placement, make_target, served
 from tests.placement.replay import SPAN_MS, Load, Record, Replay
 
 SEEDS = range(1, 11)
@@ -16,8 +19,8 @@
 """One failure domain of a grown deployment, where a third of the targets fails by itself."""
 
 
-def play(load: Load, seed: int) -> Record:
-    return Replay(load, seed, PlacementSettings()).run()
+def play(load: Load, seed: int, how: PlacementSettings | None = None) -> Record:
+    return Replay(load, seed, how or PlacementSettings()).run()
 
 
 @pytest.mark.parametrize("forgiven_ms", [0.0, SPAN_MS])
@@ -28,3 +31,65 @@
     """Up to 7 of 21 sound targets of a service got nothing for 2 s while a tenth was lost."""
     load = replace(ENROLMENTS, gray_per_s=onsets_per_s)
     assert max(play(load, seed).worst(forgiven_ms) for seed in SEEDS) <= MOST_UNUSED
+
+
+LOADS = st.builds(
+    Load,
+    vms=st.integers(4, 24).map(
+        lambda count: tuple(make_target(number, slots=3) for number in range(count))
+    ),
+    entries=st.integers(1, 16),
+    per_s=st.floats(40.0, 160.0),
+    work_ms=st.floats(50.0, 400.0),
+    idempotent=st.booleans(),
+    gray_per_s=st.floats(0.01, 0.3),
+    gray_ms=st.floats(500.0, 8_000.0),
+    gray_share=st.floats(0.1, 1.0),
+    news_ms=st.floats(5.0, 150.0),
+    length_ms=st.just(6_000.0),
+)
+
+
+@settings(max_examples=20, deadline=None, derandomize=True)
+@given(load=LOADS, seed=st.integers(1, 1_000))
+def test_the_floor_holds_whatever_fails_and_however_late_entries_hear(
+    load: Load, seed: int
+) -> None:
+    assert play(load, seed).worst(0.0) <= MOST_UNUSED
+
+
+def test_without_the_floor_the_replay_breaks_it() -> None:
+    ignored = PlacementSettings(floor_share=0.0, spared_share=1.0, spared_ms=1e9)
+    assert play(ENROLMENTS, 1, ignored).worst(0.0) > MOST_UNUSED
+
+
+def test_a_target_that_is_to_be_used_again_gets_no_request_that_would_be_late_there() -> None:
+    placement = make_placement(make_target(0, slots=1), make_target(1))
+    for _ in range(20):
+        placement.learn(served("t1", 300.0), 0.0)
+    placement.started("t1", 5_000.0)
+    placement.targets["t0"].others = 20
+    decision = placement.place(make_demand(now=5_000.0), frozenset(), 5_000.0)
+    assert isinstance(decision, Place)
+    assert (decision.name, decision.why) == ("t1", Why.CHEAPEST)
+
+
+def test_a_target_far_away_is_left_to_the_entries_there() -> None:
+    placement = make_placement(make_target(0), make_target(1, FAR))
+    for step in range(100):
+        now = 50.0 * step
+        placement.learn(served("t0"), now)
+        decision = placement.place(make_demand(now=now), frozenset(), now)
+        assert isinstance(decision, Place)
+        assert decision.name == "t0"
+
+
+def test_a_second_attempt_tries_no_target_that_failed() -> None:
+    placement = make_placement(*(make_target(number) for number in range(3)))
+    for _ in range(3):
+        placement.learn(failed("t0"), 0.0)
+    placement.started("t2", 3_000.0)
+    tried = frozenset({make_target(1).address})
+    decision = placement.place(make_demand(now=3_000.0), tried, 3_000.0)
+    assert isinstance(decision, Place)
+    assert decision.name == "t2"
