Let a target warm up while the list changes

What callers saw: targets that a release started got less work than they could take, for as long as the list changed. Cause: each new list began the warm-up of every target anew, also where its row had not changed. Evidence: a row with 3 s of warm-up, listed again for 12 s, was cold until 15 s; the test failed before (slowness 2.0 at 3.5 s, due 1.0). Now the warm-up begins anew only when the row's own figure differs.

--- a/cactusvane/placement/target.py
+++ b/cactusvane/placement/target.py
@@ -61,18 +61,18 @@
         self.refused_until = 0.0
         self.failures_in_a_row = 0
         self.misplaced = False
-        self.cold_until = 0.0
+        self.cold_until = now + vm.warm_up_ms
         self.used_at = now
         self.failed_at = -inf
         self.vm = vm
-        self.list(vm, now)
 
     def list(self, vm: Vm, now: float) -> None:
         """Take in the target's present row."""
         if vm.address != self.vm.address:
             self.misplaced = False
+        if vm.warm_up_ms != self.vm.warm_up_ms:
+            self.cold_until = now + vm.warm_up_ms
         self.vm = vm
-        self.cold_until = now + vm.warm_up_ms
 
     @property
     def load(self) -> int:
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -125,6 +125,16 @@
     assert names["t0"] < names["t1"]
 
 
+def test_a_target_whose_row_stays_the_same_warms_up_while_the_list_changes() -> None:
+    """A row with 3 s of warm-up, listed again for 12 s, kept its target cold for 15 s."""
+    rows = (make_target(0, warm_up_ms=3_000.0), make_target(1))
+    placement = make_placement(*rows)
+    for step in range(1, 25):
+        placement.list_targets(rows, 500.0 * step)
+    inputs = placement.inputs(placement.targets["t0"], 400.0, 3_500.0)
+    assert inputs.slowness == 1.0
+
+
 def test_a_slow_target_gets_less_work() -> None:
     placement = make_placement(make_target(0), make_target(1))
     for _ in range(6):
