--- a/bench/relaying.py
+++ b/bench/relaying.py
@@ -46,6 +46,7 @@
     domain: Domain
     running: bool = True
     sent: int = 0
+    sent_bytes: int = 0
     taken: int = 0
     taken_bytes: int = 0
     timer_at: float = 0.0
@@ -148,6 +149,7 @@
         """Carry a message to some entries."""
         size = len(ENCODER.encode(message))
         sender.sent += len(to)
+        sender.sent_bytes += size * len(to)
         for address in to:
             node = self.by_address[address]
             if (sender.name, node.name) in self.cut or self.random.random() < self.loss:
--- a/tests/placement/test_relaying.py
+++ b/tests/placement/test_relaying.py
@@ -157,6 +157,36 @@
     assert other.relaying.unreturned is None
 
 
+def sent_bytes(network: Network, seconds: float = 3.0) -> int:
+    """Return what all entries send while each has its usual requests."""
+    for node in network.nodes.values():
+        node.sent_bytes = 0
+    network.run(network.now + 1_000.0 * seconds)
+    return sum(node.sent_bytes for node in network.nodes.values())
+
+
+@pytest.mark.parametrize("strays", [1, 3])
+def test_entries_that_leave_the_relay_do_not_make_others_pass_on_everything_again(
+    strays: int,
+) -> None:
+    """Each entry that lost sight of the relay made the next one repeat all notices to all."""
+    network = calm(38)
+    for node in network.nodes.values():
+        network.serve(node, 300.0)
+    network.run(network.now + 1_000.0)
+    before = sent_bytes(network)
+    relay = relay_of(network)
+    others = [node for node in network.nodes.values() if node is not relay]
+    order = sorted(others, key=lambda node: node.domain.rank)
+    for number in range(strays):
+        lone = order[-1 - number]
+        for resting in (relay, *order[:number]):
+            lone.relaying.resting[resting.name] = network.now + LONG_MS
+    network.run(network.now + 500.0)
+    assert len(network.relays()) == 1 + strays
+    assert sent_bytes(network) <= 1.25 * before
+
+
 def test_a_greeting_asks_nobody_to_relay() -> None:
     network = calm(5)
     relay = relay_of(network)
