Pass on to all only what a relay was told itself

Cause: an entry that hears no batch for 300 ms, or none of its own notices for 450 ms, tells the next entry in the order, which then passed on to all entries not only that notice but all it heard from the relay: each stray entry sent the whole traffic of the failure domain once more, from links of 5 Mbit/s, which filled, so that more entries lost sight of their relays. An entry in that state asked others for the new version, and each of four exchanges of 700 ms got no answer. Class: work that grows with distress; load on a link that no one bounds. Ruled out: the platform (its tables were read in time by the reader), the puller's choice of whom to ask (five different entries), versions that went back (none). Change: what came in another relay's batch goes only to those that tell this entry their notices, since they may not hear the other one. An entry that nobody asks sends no empty batches to all.

--- a/cactusvane/placement/relaying.py
+++ b/cactusvane/placement/relaying.py
@@ -4,7 +4,9 @@
 the square of their number. Instead each tells one, the relay, which passes on in rounds what is
 news to it. The relay is the first entry, in an order that is the same everywhere, of those that
 were heard lately; nobody is elected. Two that relay at a time do no harm: a notice counts by its
-sender and number, however often it comes.
+sender and number, however often it comes. To all entries a relay passes on only what it was told
+itself; what it heard through another one it repeats to those that tell it, since they may not hear
+the other.
 
 The relay's link carries each batch a few times only: some entries, others in each round, send it
 on. As each notice goes out in two rounds, one of them that ended takes nothing away.
@@ -65,6 +67,32 @@
     to: tuple[Address, ...]
 
 
+class News:
+    """Notices that are to be passed on, each in two rounds, as one batch may be lost.
+
+    Examples
+    --------
+    >>> news = News()
+    >>> news.add(Passed(Notice("a", 1, 1, {})))
+    >>> len(news.next_round()), len(news.next_round()), len(news.next_round())
+    (1, 1, 0)
+    """
+
+    def __init__(self) -> None:
+        self.fresh: list[Passed] = []
+        self.before: list[Passed] = []
+
+    def add(self, *passed: Passed) -> None:
+        """Take in notices for the next round."""
+        self.fresh += passed
+
+    def next_round(self) -> list[Passed]:
+        """Return what goes out now."""
+        passed = [*self.before, *self.fresh]
+        self.before, self.fresh = self.fresh, []
+        return passed
+
+
 class Relaying:
     """One entry's part in passing notices on.
 
@@ -91,6 +119,12 @@
         Since when none came back that had not before.
     returned
         Number of the latest own notice that came back.
+    asked_at
+        When other entries told this one a notice last.
+    told
+        Notices that were told to this entry, and its own.
+    heard
+        Notices that came in batches of another relay.
     """
 
     def __init__(
@@ -109,10 +143,10 @@
         self.unreturned_since = now
         self.returned = 0
         self.again_at = inf
-        self.asked_at = -inf
+        self.asked_at: dict[str, float] = {}
         self.round_at = -inf
-        self.news: list[Passed] = []
-        self.before: list[Passed] = []
+        self.told = News()
+        self.heard = News()
         self.greeting: list[Address] = []
         self.forwards: list[Outgoing] = []
         self.turn = 0
@@ -127,7 +161,9 @@
 
     def relays(self, now: float) -> bool:
         """Say whether this entry passes notices on."""
-        return self.relay == self.domain.vm or now - self.asked_at <= ASKED_MS
+        return self.relay == self.domain.vm or any(
+            now - asked_at <= ASKED_MS for asked_at in self.asked_at.values()
+        )
 
     def next_at(self, now: float) -> float:
         """Return when `step` has something to do."""
@@ -146,7 +182,8 @@
 
     def next_round_at(self) -> float:
         """Return when the next batch goes out, sooner where there is news."""
-        return self.round_at + (ROUND_MS if self.news else QUIET_ROUND_MS)
+        news = self.told.fresh or self.heard.fresh
+        return self.round_at + (ROUND_MS if news else QUIET_ROUND_MS)
 
     def heard_relay_at(self) -> float:
         """Return when the relay was heard last, or was chosen."""
@@ -202,7 +239,7 @@
             self.greeting = []
         if self.relay == self.domain.vm:
             self.unreturned = None
-            self.news.append(passed_on(notice, self.own))
+            self.told.add(passed_on(notice, self.own))
         else:
             self.unreturned = notice
             yield from self.tell_relay(notice, now)
@@ -218,13 +255,26 @@
         if now < self.next_round_at():
             return
         self.round_at = now
-        passed = [*self.before, *self.news]
-        self.before, self.news = self.news, []
-        yield from self.share_out(passed, now)
-
-    def share_out(self, passed: list[Passed], now: float) -> Iterator[Outgoing]:
-        """Send a batch to all entries, with the help of some of those that are heard."""
-        peers = list(self.domain.group().values())
+        everybody = list(self.domain.group().values())
+        askers = self.askers(now)
+        told, heard = self.told.next_round(), self.heard.next_round()
+        if 2 * len(askers) >= len(everybody):
+            yield from self.share_out([*heard, *told], everybody, now)
+            return
+        if told:
+            yield from self.share_out(told, everybody, now)
+        if askers and (heard or not told):
+            yield from self.share_out(heard, askers, now)
+
+    def askers(self, now: float) -> list[Peer]:
+        """Return the entries that go by this one as their relay."""
+        self.asked_at = {vm: at for vm, at in self.asked_at.items() if now - at <= ASKED_MS}
+        group = self.domain.group()
+        return [group[vm] for vm in self.asked_at if vm in group]
+
+    def share_out(self, passed: list[Passed], to: list[Peer], now: float) -> Iterator[Outgoing]:
+        """Send a batch to some entries, with the help of some of those that are heard."""
+        peers = list(to)
         self.domain.random.shuffle(peers)
         helpers = self.next_helpers(peers, now)
         chosen = {peer.address for peer in helpers}
@@ -255,19 +305,23 @@
         """Take in a message and return the notices in it that are news."""
         match message:
             case Notice():
-                self.asked_at = now
+                self.asked_at[message.sender] = now
                 self.domain.meet(message.sender, address, now)
                 told = passed_on(message, address)
                 if not self.take(told, now):
                     self.return_again(told)
                     return []
+                self.told.add(told)
                 return [told]
             case Batch():
                 self.batch_at[message.sender] = now
                 if message.forward:
                     batch = Batch(message.sender, message.notices)
                     self.forwards.append(Outgoing(batch, message.forward))
-                return [each for each in message.notices if self.take(each, now)]
+                news = [each for each in message.notices if self.take(each, now)]
+                if self.relays(now):
+                    self.heard.add(*news)
+                return news
 
     def take(self, passed: Passed, now: float) -> bool:
         """Take in one notice, and say whether it was news."""
@@ -275,16 +329,13 @@
         if notice.sender == self.domain.vm:
             self.note_return(notice, now)
             return False
-        news = self.domain.hear(notice, passed.address, now)
-        if news and self.relays(now):
-            self.news.append(passed)
-        return news
+        return self.domain.hear(notice, passed.address, now)
 
     def return_again(self, passed: Passed) -> None:
         """Pass on once more what its sender tells again, since the batches with it were lost."""
         peer = self.domain.peers.get(passed.notice.sender)
-        if peer is not None and peer.notice == passed.notice and passed not in self.news:
-            self.news.append(passed)
+        if peer is not None and peer.notice == passed.notice and passed not in self.told.fresh:
+            self.told.add(passed)
 
     def note_return(self, notice: Notice, now: float) -> None:
         """Note that an own notice came back: the others get it, too."""
