Bound what a notice holds that does not come back

What callers saw: nothing by itself; it adds to links that are full. Cause: a notice that has not come back is joined with the next one, observations and all, without a bound, so notices grew just while a relay's link was full. Evidence: 250 observations in a notice after 250 ms of a cut; the test failed before. Now 64 at most; the numbers say how many went, so that no later one is learned twice or left out.

--- a/cactusvane/placement/relaying.py
+++ b/cactusvane/placement/relaying.py
@@ -52,6 +52,9 @@
 UNRETURNED_MS = 450.0
 """The same without one's own notices in the batches; some of them may have been lost."""
 
+MOST_SEEN = 64
+"""Observations that one notice holds; older ones say little by the time they arrive."""
+
 SHARE = 8
 """Entries that one of them serves: the relay sends batches to some, which send them on."""
 
@@ -357,10 +360,12 @@
 
 def joined(earlier: Notice, later: Notice) -> Notice:
     """Return the later of two notices with what only the earlier one tells."""
+    seen = earlier.seen + later.seen
+    dropped = max(0, len(seen) - MOST_SEEN)
     return replace(
         later,
-        seen=earlier.seen + later.seen,
-        seen_before=earlier.seen_before,
+        seen=seen[dropped:],
+        seen_before=earlier.seen_before + dropped,
         spent=earlier.spent if later.spent is None else later.spent,
         reading=earlier.reading if later.reading is None else later.reading,
     )
--- a/tests/placement/test_relaying.py
+++ b/tests/placement/test_relaying.py
@@ -10,7 +10,7 @@
 from cactusvane.fleet.vm import Address
 from cactusvane.outcome import Outcome
 from cactusvane.placement.messages import Batch, Notice, Observation, Passed
-from cactusvane.placement.relaying import REST_MS, ROUND_MS, SILENT_MS
+from cactusvane.placement.relaying import MOST_SEEN, REST_MS, ROUND_MS, SILENT_MS
 
 SETTLED_MS = 2_000.0
 """Time after a fault in which a domain is calm again: a failed relay and two beats."""
@@ -187,6 +187,25 @@
     assert sent_bytes(network) <= 1.25 * before
 
 
+def test_a_notice_that_does_not_come_back_stays_small() -> None:
+    """While a relay's link was full, notices to it grew with each observation."""
+    network = calm(2)
+    relay = relay_of(network)
+    other = next(node for node in network.nodes.values() if node is not relay)
+    network.cut |= {(relay.name, other.name), (other.name, relay.name)}
+    for _ in range(250):
+        other.domain.observe(Observation("t0", "read", Outcome.SERVED, 400.0))
+        other.relaying.announce(False, network.now)
+        network.schedule(other)
+        network.run(network.now + 1.0)
+    assert other.relaying.unreturned is not None
+    assert len(other.relaying.unreturned.seen) <= MOST_SEEN
+    network.cut.clear()
+    network.run(network.now + REST_MS + SETTLED_MS)
+    peer = relay.domain.peers[other.name]
+    assert peer.seen == other.domain.seen_told
+
+
 def test_a_greeting_asks_nobody_to_relay() -> None:
     network = calm(5)
     relay = relay_of(network)
