Let targets of small failure domains rest, and slow ones

Cause: the share that may rest was rounded down in each failure domain, so that domains of five targets let none rest, and a slow target never did.

--- a/cactusvane/placement/floor.py
+++ b/cactusvane/placement/floor.py
@@ -13,17 +13,40 @@
 from math import inf
 from random import Random
 
+from cactusvane.fleet.vm import Vm, VmState
 from cactusvane.placement.settings import PlacementSettings
 from cactusvane.placement.target import Target
 
+HALF = 0.5
+SLOW = 1.5
+"""Time of an answer, as a multiple of the usual one, from which a target counts as slow."""
 
-def count_spared(near: Iterable[Target], settings: PlacementSettings, now: float) -> int:
+
+def part_before(vms: Iterable[Vm], domain: str, settings: PlacementSettings) -> float:
+    """Return the part of a target that the domains before this one may not let rest.
+
+    Each domain lets a whole number of targets rest. What is left of one goes on to the next, in the
+    order of their names, so that small domains together let as many rest as a large one. The sum
+    is rounded to the nearest whole number.
+    """
+    before = sum(vm.failure_domain < domain and vm.state is VmState.LIVE for vm in vms)
+    return (rest_share(settings) * before + HALF) % 1.0
+
+
+def rest_share(settings: PlacementSettings) -> float:
+    """Return the share of the targets that may rest for long."""
+    return (1.0 - settings.floor_share) * settings.spared_share
+
+
+def count_spared(
+    near: Iterable[Target], before: float, settings: PlacementSettings, now: float
+) -> int:
     """Return how many of the targets near by may rest for long.
 
     Those that failed when they were used lately do not count as capacity.
     """
     sound = sum(not failed_in_use(target, settings, now) for target in near)
-    return int((1.0 - settings.floor_share) * settings.spared_share * sound)
+    return int(rest_share(settings) * sound + before)
 
 
 def failed_in_use(target: Target, settings: PlacementSettings, now: float) -> bool:
@@ -32,8 +55,13 @@
     return in_use and now - target.failed_at <= settings.failed_ms
 
 
+def speaks_against(target: Target, now: float) -> bool:
+    """Say whether a target failed or was slow; one of which nothing is known may not rest."""
+    return target.failed_at > -inf or target.evidence.slowness(now) > SLOW
+
+
 def due(
-    near: list[Target], idempotent: bool, settings: PlacementSettings, now: float
+    near: list[Target], before: float, idempotent: bool, settings: PlacementSettings, now: float
 ) -> list[Target]:
     """Return the targets near by that should be used again.
 
@@ -41,6 +69,8 @@
     ----------
     near
         Targets of the own failure domain that may take work.
+    before
+        What `part_before` says.
     idempotent
         Whether the request at hand may be sent again; such go first.
     settings
@@ -52,9 +82,11 @@
     unused = [t for t in near if now - t.used_at > settings.unused_ms + more_ms]
     if not unused:
         return []
-    unused.sort(key=lambda target: target.evidence.failure_share(now))
-    failed = [target for target in unused if target.failed_at > -inf]
-    spared = failed[max(0, len(failed) - count_spared(near, settings, now)) :]
+    bad = sorted(
+        (target for target in unused if speaks_against(target, now)),
+        key=lambda target: (target.evidence.failure_share(now), target.evidence.slowness(now)),
+    )
+    spared = bad[max(0, len(bad) - count_spared(near, before, settings, now)) :]
     pause_ms = settings.spared_ms + more_ms
     return [t for t in unused if t not in spared or now - t.used_at > pause_ms]
 
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -9,7 +9,7 @@
 at the targets for the most urgent one and waits, briefly, while there is none.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 from random import Random
 
 from cactusvane.fleet.vm import Address, Vm
@@ -65,6 +65,7 @@
         self.random = random
         self.settings = settings
         self.targets: dict[str, Target] = {}
+        self.part_before = floor.HALF
         self.work = WorkTimes(settings)
         self.objectives: dict[str, Demand] = {}
         self.outcomes = RecentOutcomes()
@@ -72,8 +73,9 @@
         self.rest = RestLimit()
         self.rested_ms: Callable[[Address], float | None] = lambda target: None
 
-    def list_targets(self, vms: Iterable[Vm], now: float) -> None:
+    def list_targets(self, vms: Collection[Vm], now: float) -> None:
         """Go by a new list; what is known of targets that stay is kept."""
+        self.part_before = floor.part_before(vms, self.failure_domain, self.settings)
         before = self.targets
         self.targets = {}
         for vm in vms:
@@ -160,7 +162,7 @@
     def due(self, usable: list[Target], demand: Demand, now: float) -> list[Target]:
         """Return the targets near by that this request may try since nobody used them for long."""
         near = [target for target in usable if target.vm.failure_domain == self.failure_domain]
-        due = floor.due(near, demand.idempotent, self.settings, now)
+        due = floor.due(near, self.part_before, demand.idempotent, self.settings, now)
         return floor.take_chance(due, self.outcomes.per_s(now), self.settings, self.random)
 
     def wait_or_reject(
--- a/tests/placement/test_floor.py
+++ b/tests/placement/test_floor.py
@@ -6,8 +6,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from cactusvane.placement.floor import count_spared, part_before, rest_share
 from cactusvane.placement.messages import Place, Why
 from cactusvane.placement.settings import PlacementSettings
+from cactusvane.placement.target import Target
 from tests.placement.fixtures import FAR, failed, make_demand, make_placement, make_target, served
 from tests.placement.replay import SPAN_MS, Load, Record, Replay
 
@@ -93,3 +95,15 @@
     decision = placement.place(make_demand(now=3_000.0), tried, 3_000.0)
     assert isinstance(decision, Place)
     assert decision.name == "t2"
+
+
+def test_small_failure_domains_together_let_as_many_targets_rest_as_a_large_one() -> None:
+    """Domains of five targets let none rest, and bookings went to gray targets at each turn."""
+    names = ("a", "b", "c")
+    vms = [make_target(number, names[number % 3]) for number in range(15)]
+    how = PlacementSettings()
+    spared = 0
+    for name in names:
+        near = [Target(vm, how, 0.0) for vm in vms if vm.failure_domain == name]
+        spared += count_spared(near, part_before(vms, name, how), how, 5_000.0)
+    assert spared == round(rest_share(how) * len(vms)) == 2
