--- a/cactusvane/placement/floor.py
+++ b/cactusvane/placement/floor.py
@@ -17,7 +17,9 @@
 from cactusvane.placement.settings import PlacementSettings
 from cactusvane.placement.target import Target
 
-HALF = 0.5
+NEAREST = 0.5
+"""Added before a number is cut to a whole one, so that it is rounded to the nearest."""
+
 SLOW = 1.5
 """Time of an answer, as a multiple of the usual one, from which a target counts as slow."""
 
@@ -30,7 +32,7 @@
     is rounded to the nearest whole number.
     """
     before = sum(vm.failure_domain < domain and vm.state is VmState.LIVE for vm in vms)
-    return (rest_share(settings) * before + HALF) % 1.0
+    return (rest_share(settings) * before + NEAREST) % 1.0
 
 
 def rest_share(settings: PlacementSettings) -> float:
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -65,7 +65,7 @@
         self.random = random
         self.settings = settings
         self.targets: dict[str, Target] = {}
-        self.part_before = floor.HALF
+        self.part_before = floor.NEAREST
         self.work = WorkTimes(settings)
         self.objectives: dict[str, Demand] = {}
         self.outcomes = RecentOutcomes()
