Log the rate limits that targets name

An entry now reads the field, logs each change of what it knows (1806) and a field that is no decimal number (1807). No decision uses it yet.

--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -17,6 +17,7 @@
 from cactusvane.http.client import ClientConnection
 from cactusvane.http.exchange import Caller
 from cactusvane.http.message import Request, Response, end_to_end
+from cactusvane.http.rate_limit import NoRateLimit, find_rate_limit
 from cactusvane.http.refusal import VERDICT_HEADER
 from cactusvane.http.stream import ForwardedStream
 from cactusvane.metrics import KindRecord
@@ -355,6 +356,7 @@
                         self.outgoing_request(remaining), self.reuses_connections
                     )
             self.check_response(response, connection)
+            self.record_rate_limit(response, started)
             self.pool_connection(address, connection, response)
         except ConnectError as error:
             return AttemptFailed(Outcome.UNREACHABLE, error.verdict, str(error))
@@ -462,6 +464,20 @@
             if response.header(b"content-encoding") is not None:
                 raise BrokenResponseError("the response's body was re-encoded")
 
+    def record_rate_limit(self, response: Response, started: float) -> None:
+        """Report what a target's response says about its rate limit.
+
+        Only a response with a status of success shows that there is no limit: others may come from
+        a part of the target that knows of none.
+        """
+        name = self.header_names.rate_limit
+        if not name or self.ticket is None or response.status == MISDIRECTED_STATUS:
+            return
+        field = find_rate_limit(response.headers, name)
+        if isinstance(field, NoRateLimit) and response.status >= FIRST_ERROR_STATUS:
+            return
+        self.admission.record_rate_limit(self.ticket, field, started)
+
     def declined(self, address: Address, response: Response) -> AttemptFailed | None:
         """Return the result if the target reports that it did not start the request, else None."""
         names = self.header_names
--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -117,6 +117,12 @@
     TARGET_UNLISTED = EventKind(
         1802, logging.INFO, "{service}: {target} at {address} is no longer listed"
     )
+    RATE_LIMIT_CHANGED = EventKind(
+        1806, logging.INFO, "{target} accepts {per_s} requests per second, according to {source}"
+    )
+    RATE_LIMIT_UNUSABLE = EventKind(
+        1807, logging.WARNING, "{target} sent an unusable rate limit: {value}"
+    )
     REQUEST_ATTEMPTED = EventKind(1804, logging.INFO, "{request}: {target}: {outcome}")
     REQUEST_ENDED = EventKind(1805, logging.INFO, "{request}: {status}, {verdict}")
     LINES_DROPPED = EventKind(1901, logging.WARNING, "{lines} log lines were dropped")
--- a/cactusvane/http/vocabulary.py
+++ b/cactusvane/http/vocabulary.py
@@ -22,6 +22,9 @@
     signature
         Proves that a target made the response. A response with a status of success that lacks it
         is broken.
+    rate_limit
+        In a target's response: how many requests per second it accepts from all entries together,
+        for as long as its responses have the field.
     """
 
     deadline: bytes = b"cactusvane-deadline-ms"
@@ -30,6 +33,7 @@
     request_id: bytes = b""
     expected_target: bytes = b""
     signature: bytes = b""
+    rate_limit: bytes = b""
 
     @property
     def set_by_entries(self) -> frozenset[bytes]:
--- a/cactusvane/placement/admission.py
+++ b/cactusvane/placement/admission.py
@@ -5,6 +5,7 @@
 
 from cactusvane.clock import MS_PER_SECOND, Clock
 from cactusvane.fleet.vm import Address
+from cactusvane.http.rate_limit import RateLimitField
 from cactusvane.outcome import Outcome
 from cactusvane.placement.domain import Domain
 from cactusvane.placement.messages import Observation, Place, Reject, RequestProfile, Wait
@@ -143,6 +144,12 @@
         self.schedule_update(outcome in FAILURE_OUTCOMES or outcome is Outcome.STALE)
         self.wake()
 
+    def record_rate_limit(self, ticket: Ticket, field: RateLimitField, sent_at: float) -> None:
+        """Record what a target's response says about its rate limit."""
+        if ticket.place is not None:
+            now = self.clock.now()
+            self.domain.rate_limits.record_response(ticket.place.name, field, sent_at, now)
+
     def withdraw(self, ticket: Ticket) -> None:
         """Release a request that is not continued."""
         if ticket.place is not None:
--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -18,6 +18,7 @@
 from cactusvane.metrics import TargetCounts
 from cactusvane.placement.messages import Observation, StateUpdate, StoreStatus
 from cactusvane.placement.placement import Placement
+from cactusvane.placement.rate_limits import RateLimits
 from cactusvane.placement.retries import RetryLimit, RetryUsage, SharedRetries
 from cactusvane.placement.settings import PlacementSettings
 
@@ -143,6 +144,7 @@
         self.random = random
         self.settings = settings or PlacementSettings()
         self.limit = limit
+        self.rate_limits = RateLimits(vm)
         self.placements: dict[str, Placement] = {}
         self.retries: dict[str, SharedRetries] = {}
         self.placement_by_target: dict[str, Placement] = {}
@@ -300,6 +302,7 @@
         """Drop the loads of entries without a recent update, and old retry usage."""
         for retries in self.retries.values():
             retries.expire(now)
+        self.rate_limits.expire(now)
         group = self.group()
         for vm, peer in tuple(self.peers.items()):
             if now - peer.last_seen_at <= PEER_TIMEOUT_MS:
--- a/cactusvane/request/admission.py
+++ b/cactusvane/request/admission.py
@@ -4,6 +4,7 @@
 
 from cactusvane.configuration.model import Configuration
 from cactusvane.fleet.vm import Address, Vm
+from cactusvane.http.rate_limit import RateLimitField
 from cactusvane.outcome import Outcome
 from cactusvane.placement.messages import Place, Reject, RequestProfile
 from cactusvane.request.budget import RetryLimiter
@@ -115,5 +116,18 @@
             connection had been idle.
         """
 
+    def record_rate_limit(self, ticket: Ticket, field: RateLimitField, sent_at: float) -> None:
+        """Record what a target's response says about its rate limit.
+
+        Parameters
+        ----------
+        ticket
+            The request, which is still in flight at the target.
+        field
+            The response's field.
+        sent_at
+            When the attempt began, in milliseconds (monotonic clock of the process).
+        """
+
     def withdraw(self, ticket: Ticket) -> None:
         """Remove a request that needs no further attempt."""
--- a/cactusvane/slots/admission.py
+++ b/cactusvane/slots/admission.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from cactusvane.fleet.vm import Address
+from cactusvane.http.rate_limit import RateLimitField
 from cactusvane.outcome import Outcome
 from cactusvane.placement.messages import RequestProfile
 from cactusvane.pool.messages import AttemptEnded, AttemptStarted, PoolEvent
@@ -75,6 +76,9 @@
         if outcome is not Outcome.SHED:
             ticket.queue_ticket = None
 
+    def record_rate_limit(self, ticket: Ticket, field: RateLimitField, sent_at: float) -> None:
+        """Do nothing: `cactusvaned` has no field for rate limits, so keepers know none."""
+
     def withdraw(self, ticket: Ticket) -> None:
         """Remove a request that will not be sent again."""
         assert isinstance(ticket, KeeperTicket)
