Failing test: all entries together exceed the rate limit of no target

40 entries of three failure domains, with real connections and datagrams, and 11 targets of which two name a limit, change it, while callers rush, one in ten datagrams is lost and four entries restart.

--- /dev/null
+++ b/tests/adapter/test_rate_limit.py
@@ -0,0 +1,41 @@
+"""Rate limits of targets, with 40 entries that share them by datagrams."""
+
+import asyncio
+
+from tests.adapter.limited import LimitedFleet
+
+ZONES = {"estrie": 16, "monteregie": 16, "beauce": 8}
+PER_S = 45.0
+RUSH_PER_S = 90.0
+
+
+async def play_limits(fleet: LimitedFleet) -> None:
+    """Two targets name limits, change and withdraw them; a rush, losses and a restart meanwhile."""
+    first, second = fleet.limited[0], fleet.limited[1]
+    await fleet.call_for(2.0, PER_S)
+    first.name_limit(1.3)
+    second.name_limit(2.1)
+    await fleet.call_for(3.0, PER_S)
+    fleet.lose_datagrams(0.1)
+    restarts = [
+        asyncio.ensure_future(fleet.restart(process)) for process in (*fleet.processes[:20:5],)
+    ]
+    await fleet.call_for(2.0, PER_S)
+    await fleet.call_for(3.0, RUSH_PER_S)
+    await asyncio.gather(*restarts)
+    second.name_limit(0.8)
+    await fleet.call_for(6.0, PER_S)
+
+
+def test_all_entries_together_exceed_the_rate_limit_of_no_target() -> None:
+    """Each entry by itself stays below a limit that the sum of all would exceed."""
+    fleet = LimitedFleet(ZONES, targets=11, seed=1)
+
+    async def scenario() -> None:
+        await fleet.start_all()
+        await play_limits(fleet)
+        await fleet.finish()
+
+    asyncio.run(scenario())
+    assert [each for target in fleet.limited[:2] for each in target.excesses()] == []
+    assert fleet.served > 0.97 * fleet.sent
