--- a/cactusvane/exposition.py
+++ b/cactusvane/exposition.py
@@ -72,13 +72,14 @@
 
 
 def target_counts(recorder: Recorder) -> GaugeMetricFamily:
-    """Return the usable targets of this failure domain, and those that were not used recently."""
+    """Return the usable targets of this failure domain, and those unused or rate-limited."""
     family = GaugeMetricFamily(
         "cactusvane_targets", "Targets of this failure domain", labels=("service", "state")
     )
     for service, counts in recorder.targets.items():
         family.add_metric((service, "usable"), counts.usable)
         family.add_metric((service, "unused"), counts.unused)
+        family.add_metric((service, "limited"), counts.limited)
     return family
 
 
--- a/cactusvane/metrics.py
+++ b/cactusvane/metrics.py
@@ -89,10 +89,13 @@
         Targets that accept requests.
     unused
         Usable targets that no entry of the failure domain has used for two seconds.
+    limited
+        Usable targets that name a rate limit.
     """
 
     usable: int
     unused: int
+    limited: int
 
 
 class Recorder:
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -286,14 +286,15 @@
         )
 
     def count_targets(self, now: float) -> TargetCounts:
-        """Return the numbers of usable and of unused targets in the own failure domain."""
+        """Return numbers of targets in the own failure domain."""
         local = [
             target
             for target in self.targets.values()
             if target.accepts_requests(now) and target.vm.failure_domain == self.failure_domain
         ]
         unused = sum(now - target.used_at > UNUSED_MS for target in local)
-        return TargetCounts(len(local), unused)
+        limited = sum(self.rate_limits.is_limited(target.vm.name) for target in local)
+        return TargetCounts(len(local), unused, limited)
 
     def record_start(self, name: str, now: float) -> None:
         """Record that a request was sent to a target."""
--- a/cactusvane/placement/rate_limits.py
+++ b/cactusvane/placement/rate_limits.py
@@ -126,6 +126,11 @@
         self.update_pacer(limit, target, limit.latest.per_s, now)
         return limit.pacer.next_at
 
+    def is_limited(self, target: str) -> bool:
+        """Return whether a target names a limit."""
+        limit = self.limits.get(target)
+        return limit is not None and limit.latest.per_s is not None
+
     def update_pacer(self, limit: RateLimit, target: Vm, per_s: float, now: float) -> None:
         """Compute the interval between requests again if the group or the limit has changed."""
         group = self.live_group(now)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -3,6 +3,7 @@
 from cactusvane.clock import ManualClock
 from cactusvane.configuration.model import Configuration, Route, Service
 from cactusvane.fleet.vm import Address, Vm
+from cactusvane.http.rate_limit import NamedRateLimit
 from cactusvane.keeper_entry import KeeperEntry
 from cactusvane.metrics import Recorder
 from cactusvane.outcome import Outcome
@@ -31,16 +32,18 @@
     assert f"cactusvane_added_ms_count{{{labels}}} 1.0" in text
 
 
-def test_exposition_lists_usable_and_unused_targets_of_a_service():
+def test_exposition_lists_usable_unused_and_limited_targets_of_a_service():
     placement = Placement("Gobabis", Random(1), PlacementSettings(), make_rate_limits())
     vms = [Vm(f"t{number}", Address("10.0.0.1", number), "Gobabis") for number in range(3)]
     placement.set_targets([*vms, Vm("far", Address("10.0.0.2", 1), "Witvlei")], 0.0)
     placement.record_start("t1", 1_500.0)
+    placement.rate_limits.record_response("t2", NamedRateLimit(1.5), 1_500.0, 1_600.0)
     recorder = Recorder()
     recorder.targets = {"records": placement.count_targets(2_500.0)}
     text = recorder.text().decode()
     assert 'cactusvane_targets{service="records",state="usable"} 3.0' in text
     assert 'cactusvane_targets{service="records",state="unused"} 2.0' in text
+    assert 'cactusvane_targets{service="records",state="limited"} 1.0' in text
 
 
 def test_an_ejection_is_counted_for_its_service():
