cactusvaned: repeat reports of leaving targets, and tell entries that connect

Cause: a target's own word was reported to the keeper once. The link drops what is sent while its stream is closed, a VM that does not keep the service yet drops what it gets, and an entry that connects later was told nothing. Class: a state that is sent as an event, once.

Evidence: both tests fail before (one report lost; one entry connected later), each after 20 s of waiting.

Change: an entry repeats its reports each 500 ms while its own notice holds; the keeper remembers them for the drain time and tells entries that connect. What comes from the keeper extends no notice, so that repeats do not keep one alive.

--- a/cactusvane/peers/cell.py
+++ b/cactusvane/peers/cell.py
@@ -3,11 +3,12 @@
 from dataclasses import dataclass
 
 from cactusvane.configuration.model import Service
-from cactusvane.fleet.vm import Vm
+from cactusvane.fleet.vm import Address, Vm
 from cactusvane.peers.messages import (
     KeeperMessage,
     ServiceCredits,
     ServiceEjection,
+    ServiceLeaving,
     ServiceRestoration,
 )
 from cactusvane.pool.keeper import EvidenceKeeper
@@ -59,10 +60,16 @@
     ----------
     service
         The active service configuration.
+
+    Attributes
+    ----------
+    leaving
+        Until when entries that connect are told that a target is leaving.
     """
 
     def __init__(self, service: Service) -> None:
         self.service = service
+        self.leaving: dict[Address, float] = {}
         self.evidence = EvidenceKeeper(service)
         self.slots = SlotKeeper(service.slots)
 
@@ -88,6 +95,18 @@
         """Record evidence reported by an entry."""
         return self.handle_evidence_event(EvidenceReported(vm, failure_domain, counts), now)
 
+    def record_leaving(self, target: Address, now: float) -> tuple[CellCommand, ...]:
+        """Record an entry's report that a target is leaving; entries repeat their reports."""
+        if target in self.leaving:
+            return ()
+        self.leaving[target] = now + self.service.leaving.drain_ms
+        return (ToAll(ServiceLeaving(self.service.name, target)),)
+
+    def add_entry(self, vm: str) -> tuple[CellCommand, ...]:
+        """Tell an entry that has connected which targets are leaving."""
+        name = self.service.name
+        return tuple(ToOne(vm, ServiceLeaving(name, target)) for target in self.leaving)
+
     def request_credits(
         self, vm: str, failure_domain: str, request: CreditRequest, now: float
     ) -> tuple[CellCommand, ...]:
@@ -99,7 +118,8 @@
         return self.handle_slot_event(EntryDisconnected(vm), now)
 
     def tick(self, now: float) -> tuple[CellCommand, ...]:
-        """Advance the time of evidence and slots."""
+        """Advance the time of leaving targets, evidence and slots."""
+        self.leaving = {target: until for target, until in self.leaving.items() if now < until}
         return self.handle_evidence_event(Ticked(), now) + self.tick_slots(now)
 
     def tick_slots(self, now: float) -> tuple[CellCommand, ...]:
--- a/cactusvane/peers/node.py
+++ b/cactusvane/peers/node.py
@@ -65,6 +65,9 @@
 SLOT_TICK_INTERVAL_MS = 5.0
 """Interval in milliseconds between ticks of a cell while entries wait for its slots."""
 
+LEAVING_REPORT_INTERVAL_MS = 500.0
+"""Interval at which an entry repeats its reports of leaving targets; one may have been lost."""
+
 MAX_PEERS_ASKED = 3
 """Maximum number of VMs asked for a configuration or for the VM list."""
 
@@ -103,6 +106,7 @@
         self.links: dict[Address, KeeperLink] = {}
         self.entry_links: dict[str, EntryLink] = {}
         self.vm_list: tuple[Vm, ...] | None = None
+        self.leaving_reports_due_at = 0.0
         self.slot_timer: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         follower.fetch_from_peers = self.fetch_from_peers
@@ -161,6 +165,15 @@
         for name, cell in self.cells.items():
             self.execute_cell_commands(cell.tick(now))
             self.update_cell_targets(name)
+        if now >= self.leaving_reports_due_at:
+            self.leaving_reports_due_at = now + LEAVING_REPORT_INTERVAL_MS
+            self.repeat_leaving_reports()
+
+    def repeat_leaving_reports(self) -> None:
+        """Report again which targets announced their leaving to this entry."""
+        for state in self.entry.keeper_placer.services.values():
+            for report in state.pool.leaving_reports():
+                self.send_report(report)
 
     def update_vms(self, vms: tuple[Vm, ...]) -> None:
         """Apply the platform's VM list."""
@@ -217,6 +230,8 @@
     def entry_connected(self, link: EntryLink) -> None:
         """Handle the start of an entry's stream."""
         self.entry_links[link.hello.vm] = link
+        for cell in self.cells.values():
+            self.execute_cell_commands(cell.add_entry(link.hello.vm))
 
     def entry_message_received(self, link: EntryLink, message: EntryMessage) -> None:
         """Handle a message from an entry."""
@@ -243,7 +258,7 @@
                     cell.record_evidence(hello.vm, hello.failure_domain, counts, now)
                 )
             case ReportLeaving(service, target) if service in self.cells:
-                self.execute_cell_commands((ToAll(ServiceLeaving(service, target)),))
+                self.execute_cell_commands(self.cells[service].record_leaving(target, now))
             case ServiceCreditRequest(service, request) if service in self.cells:
                 cell = self.cells[service]
                 self.execute_cell_commands(
@@ -410,7 +425,7 @@
                 self.entry.keeper_placer.handle(state.pool, RestorationReceived(target))
             case ServiceLeaving(_, target):
                 self.entry.keeper_placer.handle(
-                    state.pool, LeavingNoticed(target, LeavingSource.RESPONSE)
+                    state.pool, LeavingNoticed(target, LeavingSource.KEEPER)
                 )
             case ServiceCredits(_, response):
                 state.queue.handle(response)
--- a/cactusvane/pool/messages.py
+++ b/cactusvane/pool/messages.py
@@ -13,6 +13,9 @@
 
     LIST = "list"
     RESPONSE = "answer"
+    KEEPER = "keeper"
+    """Another entry received the target's response."""
+
     CONFIGURATION = "file"
 
 
--- a/cactusvane/pool/pool.py
+++ b/cactusvane/pool/pool.py
@@ -3,7 +3,7 @@
 Performs no I/O; the current time is passed in.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import inf
 from random import Random
 
@@ -67,10 +67,13 @@
         Name of the target's VM; empty while the target is not listed.
     until
         Time at which the notice expires, in milliseconds; infinite for other sources.
+    own
+        Whether this entry received the target's response.
     """
 
     vm: str
     until: float
+    own: bool = False
 
 
 class Pool:
@@ -355,18 +358,35 @@
         if notice.vm:
             del self.leaving_notices[vm.address]
         else:
-            self.leaving_notices[vm.address] = LeavingNotice(vm.name, notice.until)
+            self.leaving_notices[vm.address] = replace(notice, vm=vm.name)
 
     def mark_leaving(self, target: Address, source: LeavingSource, now: float) -> None:
-        """Record that a target is leaving, so that it gets no new requests."""
+        """Record that a target is leaving, so that it gets no new requests.
+
+        The keeper repeats its notices; a repetition does not extend a known one.
+        """
         state = self.targets.get(target)
+        name = state.vm.name if state else ""
         known = self.leaving_notices.get(target)
-        expires = source is LeavingSource.RESPONSE
+        if known is not None and (known.vm not in ("", name) or now >= known.until):
+            known = None
+        if known is not None and source is LeavingSource.KEEPER:
+            return
+        own = source is LeavingSource.RESPONSE
+        expires = own or source is LeavingSource.KEEPER
         until = now + self.service.leaving.drain_ms if expires else inf
-        name = state.vm.name if state else ""
-        if known is not None and known.vm in ("", name):
+        if known is not None:
             until = max(until, known.until)
-        self.leaving_notices[target] = LeavingNotice(name, until)
+            own = own or known.own
+        self.leaving_notices[target] = LeavingNotice(name, until, own)
+
+    def leaving_reports(self) -> tuple[ReportLeaving, ...]:
+        """Return reports of the targets that announced their leaving to this entry."""
+        return tuple(
+            ReportLeaving(self.service.name, target)
+            for target, notice in self.leaving_notices.items()
+            if notice.own
+        )
 
     def is_leaving(self, state: TargetState) -> bool:
         """Return whether the target is leaving by the VM list, a response or the configuration."""
--- a/tests/peers/test_node.py
+++ b/tests/peers/test_node.py
@@ -18,7 +18,7 @@
 from cactusvane.peers.cell import ToAll
 from cactusvane.peers.messages import ServiceEjection
 from cactusvane.peers.node import Node
-from cactusvane.pool.messages import Ejection, ReportEvidence, TargetCounts
+from cactusvane.pool.messages import AttemptEnded, Ejection, ReportEvidence, TargetCounts
 from cactusvane.settings import Settings
 from tests.fakes import FakePlatform
 from tests.processes.harness import free_port
@@ -52,6 +52,10 @@
         self.node.update_vms(vms)
         self.entry.update_vms(vms)
 
+    def knows_leaving(self, target: Address) -> bool:
+        pool = self.entry.keeper_placer.services["records"].pool
+        return pool.targets[target].leaving
+
 
 async def wait_for(condition: object) -> None:
     async with asyncio.timeout(20):
@@ -165,6 +169,50 @@
     asyncio.run(scenario())
 
 
+def test_a_targets_leaving_is_known_to_all_though_the_first_report_was_lost():
+    """The report of a draining response was sent once, and dropped while the stream was closed."""
+
+    async def scenario() -> None:
+        async with Fleet(3) as fleet:
+            await fleet.configure()
+            await wait_for(fleet.settled)
+            keeper = fleet.keeper()
+            reporter = next(vm for vm in fleet.vms if vm is not keeper)
+            (link,) = reporter.node.links.values()
+            link.is_open = False
+            target = TARGETS[0].address
+            placer = reporter.entry.keeper_placer
+            pool = placer.services["records"].pool
+            placer.handle(pool, AttemptEnded(target, Outcome.DRAINING, 5.0))
+            link.is_open = True
+            await wait_for(lambda: all(vm.knows_leaving(target) for vm in fleet.vms))
+
+    asyncio.run(scenario())
+
+
+def test_a_targets_leaving_is_known_to_a_vm_that_connects_later():
+    async def scenario() -> None:
+        async with Fleet(3) as fleet:
+            await fleet.configure()
+            await wait_for(fleet.settled)
+            keeper = fleet.keeper()
+            reporter, late = (vm for vm in fleet.vms if vm is not keeper)
+            (link,) = late.node.links.values()
+            link.on_message = lambda message: None
+            target = TARGETS[0].address
+            placer = reporter.entry.keeper_placer
+            pool = placer.services["records"].pool
+            placer.handle(pool, AttemptEnded(target, Outcome.DRAINING, 5.0))
+            await wait_for(lambda: keeper.knows_leaving(target))
+            await asyncio.sleep(0.2)
+            (peer,) = late.node.links
+            await late.node.links.pop(peer).close()
+            late.node.update_links()
+            await wait_for(lambda: late.knows_leaving(target))
+
+    asyncio.run(scenario())
+
+
 def test_vm_list_is_fetched_from_a_peer():
     async def scenario() -> None:
         async with Fleet(2) as fleet:
--- a/tests/test_pool_machine.py
+++ b/tests/test_pool_machine.py
@@ -151,8 +151,10 @@
 
     @rule(address=addresses, source=st.sampled_from(LeavingSource))
     def notice(self, address, source):
-        duration_ms = 500.0 if source is LeavingSource.RESPONSE else float("inf")
-        self.note_leaving(address, duration_ms)
+        expires = source in (LeavingSource.RESPONSE, LeavingSource.KEEPER)
+        known = self.now < self.leaving_until.get(address, 0.0)
+        if not (known and source is LeavingSource.KEEPER):
+            self.note_leaving(address, 500.0 if expires else float("inf"))
         self.handle(LeavingNoticed(address, source))
 
     @rule(leaving=st.frozensets(addresses, max_size=1))
