Move the peer and what an entry has yet to send out of the domain module

No change of behaviour: placement/peer.py has the other entries, and placement/outbox.py what goes into the next update; domain.py shrinks from 389 to 298 lines.

--- a/bench/relaying.py
+++ b/bench/relaying.py
@@ -195,7 +195,7 @@
 
     def record_load_change(self, node: Node) -> None:
         """Record that an entry's loads changed, and schedule its update."""
-        node.load_changes.append((self.now, node.domain.number + 1))
+        node.load_changes.append((self.now, node.domain.outbox.number + 1))
         node.relaying.schedule_update(False, self.now)
         self.schedule(node)
 
--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -6,8 +6,6 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
-from math import inf
 from random import Random
 
 from msgspec.structs import replace
@@ -17,64 +15,16 @@
 from cactusvane.metrics import TargetCounts
 from cactusvane.placement.groups import Group, count_groups, hash_name
 from cactusvane.placement.messages import Observation, StateUpdate, StoreStatus
+from cactusvane.placement.outbox import Outbox
+from cactusvane.placement.peer import PEER_TIMEOUT_MS, Peer
 from cactusvane.placement.placement import Placement
 from cactusvane.placement.rate_limits import RateLimits
-from cactusvane.placement.retries import RetryLimit, RetryUsage, SharedRetries
+from cactusvane.placement.retries import RetryLimit, SharedRetries
 from cactusvane.placement.settings import PlacementSettings
 
-PEER_TIMEOUT_MS = 2_500.0
-"""An entry without an update for this long counts as gone; longer than two heartbeats."""
-
 PEER_EXPIRY_MS = 30_000.0
 """An entry of the same group without an update for this long is sent no more updates."""
 
-USAGE_INTERVAL_MS = 1_000.0
-"""Interval at which an entry sends its retry usage without a retry of its own.
-
-Requests that were not sent yet only lower the budget; a retry is sent with the next update.
-"""
-
-STATUS_INTERVAL_MS = 500.0
-"""Interval at which an entry sends its store status and address without a change or response."""
-
-
-@dataclass(slots=True)
-class Peer:
-    """Another entry of the failure domain.
-
-    Parameters
-    ----------
-    address
-        Address at which it receives updates.
-    last_seen_at
-        Time of its latest update, in milliseconds (monotonic clock of the process).
-    rank
-        A number that is the same on all VMs.
-    last_update
-        Its latest update; None before the first one.
-    store_status, store_status_at
-        Its latest store status, and when that was received.
-    known_observations
-        Number of its observations that are known here.
-    """
-
-    address: Address
-    last_seen_at: float
-    rank: int
-    last_update: StateUpdate | None = None
-    store_status: StoreStatus | None = None
-    store_status_at: float = 0.0
-    known_observations: int = 0
-
-    def is_live(self, now: float) -> bool:
-        """Return whether an update was received recently."""
-        return self.last_update is not None and now - self.last_seen_at <= PEER_TIMEOUT_MS
-
-    @property
-    def order(self) -> tuple[int, int]:
-        """Sort key that is the same on all VMs; the strongest come first."""
-        return (-self.last_update.strength if self.last_update else 0, self.rank)
-
 
 class Domain:
     """Placements of all services, and the other entries that share their loads.
@@ -127,13 +77,7 @@
         self.idle_ms: Callable[[Address], float | None] = lambda target: None
         self.targets_by_service: dict[str, tuple[Vm, ...]] = {}
         self.peers: dict[str, Peer] = {}
-        self.unsent_observations: list[Observation] = []
-        self.observations_sent = 0
-        self.number = 0
-        self.retry_unsent = False
-        self.usage_sent_at = -inf
-        self.sent_status: StoreStatus | None = None
-        self.status_sent_at = -inf
+        self.outbox = Outbox()
 
     def configure(self, configuration: Configuration, now: float) -> None:
         """Create a placement for each service; the state of services that stay is kept."""
@@ -149,7 +93,7 @@
             self.placements[service.name] = placement
         self.retries = {
             name: self.retries.get(name)
-            or SharedRetries(self.limit, now, self.live_share, self.record_retry)
+            or SharedRetries(self.limit, now, self.live_share, self.outbox.record_retry)
             for name in self.placements
         }
         self.set_targets(self.targets_by_service, now)
@@ -205,10 +149,6 @@
             if retries is not None:
                 retries.record_peer_usage(update.sender, update.started, usage, now)
 
-    def record_retry(self) -> None:
-        """Record a retry, so that the next update contains the usage."""
-        self.retry_unsent = True
-
     def live_share(self, now: float) -> float:
         """Return the share of the failure domain's entries that are live, including this one."""
         return (len(self.live_peers(now)) + 1) / (len(self.peers) + 1)
@@ -323,36 +263,7 @@
 
     def observe(self, observation: Observation) -> None:
         """Add an observation to the next update."""
-        self.unsent_observations.append(observation)
-
-    def usage_to_send(self, now: float) -> dict[str, RetryUsage] | None:
-        """Return this entry's usage of the latest window, for services with any request.
-
-        None if the usage that was last sent is recent enough.
-        """
-        if not self.retry_unsent and now - self.usage_sent_at < USAGE_INTERVAL_MS:
-            return None
-        self.retry_unsent = False
-        self.usage_sent_at = now
-        totals = {name: retries.own.total(now) for name, retries in self.retries.items()}
-        return {name: total for name, total in totals.items() if total.requests or total.retries}
-
-    def status_to_send(self, store_status: StoreStatus, now: float) -> StoreStatus | None:
-        """Return the store status if it is to be sent now; None otherwise."""
-        sent = self.sent_status
-        sent_ago_ms = now - self.status_sent_at
-        same = sent is not None and (sent.table_versions, sent.can_read) == (
-            store_status.table_versions,
-            store_status.can_read,
-        )
-        has_new_response = (
-            store_status.response_age_ms is not None and store_status.response_age_ms < sent_ago_ms
-        )
-        if same and not has_new_response and sent_ago_ms < STATUS_INTERVAL_MS:
-            return None
-        self.sent_status = store_status
-        self.status_sent_at = now
-        return store_status
+        self.outbox.observe(observation)
 
     def next_update(self, store_status: StoreStatus, now: float) -> StateUpdate:
         """Return the update to send to the other entries now.
@@ -364,26 +275,24 @@
         now
             Current time in milliseconds (monotonic clock of the process).
         """
-        self.number += 1
-        observations, self.unsent_observations = tuple(self.unsent_observations), []
-        observations_before = self.observations_sent
-        self.observations_sent += len(observations)
         in_flight = {
             name: target.own_load
             for placement in self.placements.values()
             for name, target in placement.targets.items()
             if target.own_load
         }
-        status = self.status_to_send(store_status, now)
+        outbox = self.outbox
+        status = outbox.status_to_send(store_status, now)
+        observations, observations_before = outbox.take_observations()
         return StateUpdate(
             self.vm,
-            self.number,
+            outbox.next_number(),
             self.started,
             in_flight,
             observations,
             observations_before,
             status,
-            self.usage_to_send(now),
+            outbox.usage_to_send(self.retries, now),
             self.strength,
             self.rate_limits.reports(status is not None, now),
         )
--- a/cactusvane/placement/relaying.py
+++ b/cactusvane/placement/relaying.py
@@ -24,7 +24,7 @@
 from msgspec.structs import replace
 
 from cactusvane.fleet.vm import Address
-from cactusvane.placement.domain import Domain, Peer
+from cactusvane.placement.domain import Domain
 from cactusvane.placement.messages import (
     Message,
     RelayedUpdate,
@@ -32,6 +32,7 @@
     StoreStatus,
     UpdateBatch,
 )
+from cactusvane.placement.peer import Peer
 
 HEARTBEAT_MS = 1_000.0
 """Maximum time between two updates of an entry, also without traffic."""
--- a/tests/placement/test_domain.py
+++ b/tests/placement/test_domain.py
@@ -9,9 +9,10 @@
 from cactusvane.configuration.model import Configuration, Service
 from cactusvane.fleet.vm import Address
 from cactusvane.outcome import Outcome
-from cactusvane.placement.domain import PEER_EXPIRY_MS, PEER_TIMEOUT_MS, Domain
+from cactusvane.placement.domain import PEER_EXPIRY_MS, Domain
 from cactusvane.placement.groups import MAX_GROUP_SIZE
 from cactusvane.placement.messages import Observation, StateUpdate, StoreStatus
+from cactusvane.placement.peer import PEER_TIMEOUT_MS
 from tests.placement.fixtures import LOCAL, make_target
 
 PEER = Address("10.0.1.2", 7_000)
--- a/tests/placement/test_relaying.py
+++ b/tests/placement/test_relaying.py
@@ -209,7 +209,7 @@
     network.blocked_links.clear()
     network.run(network.now + RELAY_COOLDOWN_MS + SETTLE_MS)
     peer = relay.domain.peers[other.name]
-    assert peer.known_observations == other.domain.observations_sent
+    assert peer.known_observations == other.domain.outbox.observations_sent
 
 
 def test_an_introduction_asks_nobody_to_relay() -> None:
