Drop a target that vanished in an outage before its drain timeout is over

Cause, by reading: a registration that is removed while the store fails for some VMs may have lapsed, so its target was retained until 2,000 ms after the last failed call, and dropped at the first tick of 100 ms after that; a connect comes on top. Who left without an announcement so got requests for up to 2.1 s and more. drain-timeout-ms of the settings was not read. Class: two bounds that meet, one of which nobody computes with.

Change: the retention ends a tick and a connect timeout before the drain timeout, counted from when the removal was learnt. The test fails without it.

--- a/cactusvane/fleet/lapse.py
+++ b/cactusvane/fleet/lapse.py
@@ -33,21 +33,28 @@
 class LapsedTargets:
     """Retains targets whose registrations vanish during an outage of the store or soon after it.
 
-    A target that had announced that it is leaving is not retained.
+    A target that had announced that it is leaving is not retained. The others may have left without
+    an announcement, so none is retained for longer than a leaving target may be sent requests.
+
+    Parameters
+    ----------
+    max_retention_ms
+        Maximum time from the removal of a target until it is dropped.
 
     Examples
     --------
     >>> from cactusvane.fleet.vm import Address
     >>> vm = Vm("t1", Address("10.0.0.1", 80), "Gobabis", service="records")
-    >>> lapsed = LapsedTargets()
+    >>> lapsed = LapsedTargets(1_700.0)
     >>> len(lapsed.update((vm,), 0.0))
     1
     >>> lapsed.record_failure(5_000.0)
-    >>> len(lapsed.update((), 5_010.0)), len(lapsed.update((), 7_000.0))
+    >>> len(lapsed.update((), 5_010.0)), len(lapsed.update((), 6_710.0))
     (1, 0)
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_retention_ms: float) -> None:
+        self.max_retention_ms = max_retention_ms
         self.present: dict[str, Vm] = {}
         self.retained: dict[str, RetainedTarget] = {}
         self.last_failure_at = -inf
@@ -73,7 +80,7 @@
             Current time in milliseconds (monotonic clock of the process).
         """
         present = {vm.name: vm for vm in vms}
-        expires_at = self.last_failure_at + REREGISTRATION_MS
+        expires_at = min(self.last_failure_at + REREGISTRATION_MS, now + self.max_retention_ms)
         for name, vm in self.present.items():
             if name not in present and vm.state is VmState.LIVE:
                 self.retained[name] = RetainedTarget(vm, expires_at)
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -90,11 +90,21 @@
         Times that determine how soon a change is known on all VMs.
     placement
         How requests are placed, and which share of a service's targets must stay in use.
+    target_drain_ms
+        Time from the notice that a target is leaving until it may get no more requests.
     """
 
     retries: RetryLimit
     follow: FollowSettings
     placement: PlacementSettings
+    target_drain_ms: float = 2_000.0
+
+    def max_retention_ms(self, connect_ms: float) -> float:
+        """Return how long a target that may have left is retained.
+
+        A request may be sent to it until the next tick, and reach it after the connect timeout.
+        """
+        return max(0.0, self.target_drain_ms - TICK_MS - connect_ms)
 
 
 class FleetProcess:
@@ -178,7 +188,7 @@
             self.clock,
         )
         self.puller = TablePuller(self.domain, self.followers, self.clock, self.random)
-        self.lapsed = LapsedTargets()
+        self.lapsed = LapsedTargets(fleet.max_retention_ms(settings.http.connect_ms))
         self.server = Server(settings.http, self.entry.handle)
         self.admin = Server(settings.http, self.handle_admin_request)
         self.peer_server = Server(settings.http, self.handle_peer_request)
--- a/cactusvane/placement/rate_limits.py
+++ b/cactusvane/placement/rate_limits.py
@@ -33,7 +33,6 @@
 MEMORY_MS = 600_000.0
 """A limit is forgotten so long after the latest response about it."""
 
-
 WITHDRAWAL_REPORT_MS = 30_000.0
 """How long an entry tells the others that a limit has ended."""
 
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -25,6 +25,7 @@
         "retry-budget-ratio": 0.2,
         "budget-slack": 64,
         "floor-share": 0.8,
+        "drain-timeout-ms": 1500,
         "new": 1,
     },
     "platform": {"address": "10.200.1.7:8384", "form": "table"},
@@ -52,6 +53,7 @@
     assert start.fleet.retries.share < 0.2
     assert start.fleet.retries.window_ms == 10_000.0
     assert start.fleet.placement.floor_share == 0.8
+    assert start.fleet.target_drain_ms == 1_500.0
 
 
 @pytest.mark.parametrize(
--- a/tests/fleet/test_lapse.py
+++ b/tests/fleet/test_lapse.py
@@ -4,19 +4,24 @@
 
 from cactusvane.fleet.lapse import REREGISTRATION_MS, LapsedTargets
 from cactusvane.fleet.vm import VmState
+from cactusvane.fleet_process import TICK_MS, FleetLimits
+from cactusvane.following.follower import FollowSettings
+from cactusvane.placement.retries import RetryLimit
+from cactusvane.placement.settings import PlacementSettings
 from tests.placement.fixtures import make_target
 
+MAX_RETENTION_MS = 10_000.0
 ONE, TWO = make_target(1), make_target(2)
 
 
 def test_without_an_outage_a_target_is_removed_at_once() -> None:
-    lapsed = LapsedTargets()
+    lapsed = LapsedTargets(MAX_RETENTION_MS)
     lapsed.update((ONE, TWO), 0.0)
     assert lapsed.update((ONE,), 10.0) == (ONE,)
 
 
 def test_a_target_that_vanished_in_an_outage_is_retained_until_shortly_after_it() -> None:
-    lapsed = LapsedTargets()
+    lapsed = LapsedTargets(MAX_RETENTION_MS)
     lapsed.update((ONE, TWO), 0.0)
     lapsed.record_failure(1_000.0)
     assert lapsed.update((ONE,), 1_500.0) == (ONE, TWO)
@@ -31,14 +36,14 @@
     In the case that failed, the store rejected a third of the VMs until 11.5 s, and a target whose
     registration was removed at 15 s was retained for another 2 s.
     """
-    lapsed = LapsedTargets()
+    lapsed = LapsedTargets(MAX_RETENTION_MS)
     lapsed.update((ONE, TWO), 0.0)
     lapsed.record_failure(12_500.0)
     assert lapsed.update((ONE,), 15_007.0) == (ONE,)
 
 
 def test_a_target_that_registers_again_has_the_state_of_its_registration() -> None:
-    lapsed = LapsedTargets()
+    lapsed = LapsedTargets(MAX_RETENTION_MS)
     lapsed.update((ONE, TWO), 0.0)
     lapsed.record_failure(1_000.0)
     lapsed.update((ONE,), 1_500.0)
@@ -48,8 +53,20 @@
 
 
 def test_a_target_is_not_retained_if_its_address_has_a_new_owner() -> None:
-    lapsed = LapsedTargets()
+    lapsed = LapsedTargets(MAX_RETENTION_MS)
     lapsed.update((ONE, TWO), 0.0)
     lapsed.record_failure(1_000.0)
     owner = replace(TWO, name="t9")
     assert lapsed.update((ONE, owner), 1_500.0) == (ONE, owner)
+
+
+def test_a_target_that_left_while_the_store_fails_gets_no_request_after_the_drain_timeout() -> None:
+    """Retained targets were dropped at a tick after the drain timeout: up to 100 ms too late."""
+    limits = FleetLimits(RetryLimit(), FollowSettings(), PlacementSettings(), 2_000.0)
+    lapsed = LapsedTargets(limits.max_retention_ms(connect_ms=200.0))
+    lapsed.update((ONE,), 0.0)
+    lapsed.record_failure(1_500.0)
+    assert lapsed.update((), 1_500.0) == (ONE,)
+    last_tick_at = 1_500.0 + 2_000.0 - 200.0
+    assert lapsed.has_expired(last_tick_at - TICK_MS)
+    assert lapsed.update((), last_tick_at) == ()
