Split a relay's updates into batches that fit in a datagram

Cause: a relay that was frozen or busy passes on all that has arrived meanwhile in one batch. Dropped, it is retransmitted by its senders, and as large again. Class: work that grows with distress.

Change: the updates of a round are sent in batches of at most 400 items. The test with a backlog of 20 updates an entry fails before (92,727 bytes of 8 entries, 490,588 of 38).

--- a/cactusvane/placement/relaying.py
+++ b/cactusvane/placement/relaying.py
@@ -64,6 +64,9 @@
 MAX_OBSERVATIONS = 64
 """Maximum number of observations in one update; older ones are of little use when they arrive."""
 
+MAX_BATCH_ITEMS = 400
+"""Maximum number of items in a batch; at 100 bytes each, it fits in a datagram."""
+
 FAN_OUT = 8
 """Entries per forwarder: the relay sends batches to some entries, which forward them."""
 
@@ -313,6 +316,13 @@
 
     def fan_out(
         self, updates: list[RelayedUpdate], to: list[Peer], now: float
+    ) -> Iterator[Outgoing]:
+        """Send updates to the given entries, in batches that fit in a datagram."""
+        for part in split_updates(updates):
+            yield from self.fan_out_batch(part, to, now)
+
+    def fan_out_batch(
+        self, updates: list[RelayedUpdate], to: list[Peer], now: float
     ) -> Iterator[Outgoing]:
         """Send a batch to the given entries, with some of the live ones as forwarders."""
         peers = list(to)
@@ -395,6 +405,32 @@
             self.retransmit_at = inf
 
 
+def split_updates(updates: list[RelayedUpdate]) -> Iterator[list[RelayedUpdate]]:
+    """Return the updates in parts that fit in a datagram; one empty part if there are none."""
+    part: list[RelayedUpdate] = []
+    items = 0
+    for each in updates:
+        size = count_items(each.update)
+        if part and items + size > MAX_BATCH_ITEMS:
+            yield part
+            part, items = [], 0
+        part.append(each)
+        items += size
+    yield part
+
+
+def count_items(update: StateUpdate) -> int:
+    """Return the number of items in an update; the update itself counts as two.
+
+    Examples
+    --------
+    >>> count_items(StateUpdate("a", 1, 1, {"t1": 2, "t2": 1}))
+    4
+    """
+    parts = (update.in_flight, update.observations, update.retry_usage, update.rate_limits)
+    return 2 + sum(len(part) for part in parts if part)
+
+
 def relayed(update: StateUpdate, address: Address) -> RelayedUpdate:
     """Return an update as it is passed on; only a full one has its sender's address."""
     return RelayedUpdate(update, address if update.is_full else None)
--- a/tests/placement/test_relaying.py
+++ b/tests/placement/test_relaying.py
@@ -12,6 +12,7 @@
 from bench.relaying import Network, Node, measure
 from cactusvane.fleet.vm import Address
 from cactusvane.outcome import Outcome
+from cactusvane.placement.endpoint import ENCODER, MAX_DATAGRAM_BYTES
 from cactusvane.placement.messages import Observation, RelayedUpdate, StateUpdate, UpdateBatch
 from cactusvane.placement.relaying import (
     MAX_OBSERVATIONS,
@@ -212,6 +213,26 @@
     assert peer.known_observations == other.domain.outbox.observations_sent
 
 
+@pytest.mark.parametrize("entries", [8, 38])
+def test_a_relay_with_a_backlog_sends_it_in_datagrams_that_fit(entries: int) -> None:
+    """A relay that had been frozen put all updates into one batch, which was too large to send."""
+    network = make_network(entries)
+    relay = find_relay(network)
+    observations = (Observation("i-04842ce006", "r-3a7twy6", Outcome.SERVED, 400.0),) * 16
+    others = [node for node in network.nodes.values() if node is not relay]
+    for number in range(1, 21):
+        for node in others:
+            update = StateUpdate(
+                node.name, 10_000 + number, node.domain.started, {}, observations, 16 * number
+            )
+            relay.relaying.receive(update, node.address, network.now)
+    sent = list(relay.relaying.step(network.now + ROUND_INTERVAL_MS))
+    assert max(len(ENCODER.encode(each.message)) for each in sent) <= MAX_DATAGRAM_BYTES
+    batches = [each.message for each in sent if isinstance(each.message, UpdateBatch)]
+    passed_on = {each.update.number for batch in batches for each in batch.updates}
+    assert passed_on >= set(range(10_001, 10_021))
+
+
 def test_an_introduction_asks_nobody_to_relay() -> None:
     network = make_network(5)
     relay = find_relay(network)
