--- a/tests/adapter/limited.py
+++ b/tests/adapter/limited.py
@@ -24,14 +24,7 @@
     send_request,
     until,
 )
-
-SPAN_S = 4.0
-"""A rate limit bounds the requests in each span of this length."""
-
-ALLOWED_FACTOR = 1.5
-ALLOWED_EXTRA = 5.0
-BINDING_S = 3.0
-"""Time from the first response with a limit until the limit must be kept."""
+from tests.limits import BINDING_S, SPAN_S, allowed_requests
 
 WORK_S = 0.25
 START_SECONDS = 30.0
@@ -98,7 +91,7 @@
             if not begin <= last <= end:
                 continue
             per_s = self.highest_limit(since, last)
-            allowed = ALLOWED_FACTOR * SPAN_S * per_s + ALLOWED_EXTRA
+            allowed = allowed_requests(per_s)
             got = self.count(since, last) + 1
             if got > allowed:
                 found.append(f"{self.name}: {got} requests until {last - begin:.2f} s, {allowed=}")
--- a/tests/placement/fleet_replay.py
+++ b/tests/placement/fleet_replay.py
@@ -11,6 +11,7 @@
 from itertools import count
 from random import Random
 
+from cactusvane.clock import MS_PER_SECOND
 from cactusvane.configuration.model import Configuration, Service
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.http.rate_limit import NamedRateLimit, NoRateLimit
@@ -19,15 +20,10 @@
 from cactusvane.placement.messages import Observation, Place, RequestProfile, StoreStatus
 from cactusvane.placement.placement import Placement
 from cactusvane.placement.retries import RetryLimit
+from tests.limits import BINDING_S, SPAN_S, allowed_requests
 
-SPAN_MS = 4_000.0
-"""A rate limit bounds the requests in each span of this length."""
-
-ALLOWED_FACTOR = 1.5
-ALLOWED_EXTRA = 5.0
-
-BINDING_MS = 3_000.0
-"""Time from the first response with a limit until the limit must be kept."""
+SPAN_MS = MS_PER_SECOND * SPAN_S
+BINDING_MS = MS_PER_SECOND * BINDING_S
 
 TOLD_MS = 500.0
 """Time after which an entry must have acted on a response with a limit."""
@@ -94,17 +90,14 @@
 
     vm: Vm
     limit: float | None = None
-    highest: float = 0.0
     since: float | None = None
     counted: list[float] = field(default_factory=list)
     got: list[float] = field(default_factory=list)
     told: dict[str, float] = field(default_factory=dict)
 
     def name_limit(self, limit: float | None) -> None:
-        """Name a limit from now on; a lower one applies fully once spans with the old one end."""
-        self.limit = self.highest = limit or 0.0
-        if limit is None:
-            self.limit = None
+        """Name a limit from now on, or none; it binds some time after it was first named."""
+        self.limit = limit
         self.since = None
         self.counted.clear()
         self.told.clear()
@@ -112,7 +105,7 @@
     def excess(self, now: float) -> str:
         """Return how the span that ends now exceeds the limit, or an empty text."""
         got = len(self.counted) - bisect_left(self.counted, now - SPAN_MS)
-        allowed = ALLOWED_FACTOR * SPAN_MS / 1_000.0 * self.highest + ALLOWED_EXTRA
+        allowed = allowed_requests(self.limit or 0.0)
         return f"{self.vm.name} at {now:.0f} ms: {got}, {allowed=:.1f}" if got > allowed else ""
 
 
