Tests: finalizers of one module's event loops do not run in tests of another

A stand-in that is cancelled with its event loop left its writer open; the collector ran its finalizer, which raises 'Event loop is closed', at some later allocation (15 warnings), here within ast.parse, which CPython 3.11 does not bear. The new tests moved the collection there; alone the test passes.

The stand-in closes its writer also when cancelled, and garbage is collected at the end of each test module.

--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -54,7 +54,8 @@
             writer.write(await self.respond(head, reader))
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
-        writer.close()
+        finally:
+            writer.close()
 
     async def respond(self, head: str, reader: asyncio.StreamReader) -> bytes:
         fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,7 @@
 """Marks the tests that KNOWN-RED.txt lists as expected failures and prints them after a run."""
 
+import gc
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -22,6 +24,13 @@
     return tuple(KnownRedTest(test.strip(), seen.strip()) for test, _, seen in entries)
 
 
+@pytest.fixture(autouse=True, scope="module")
+def collected_garbage() -> Iterator[None]:
+    """Collect what the event loops of a module leave, so that no finalizer fails in a later test."""
+    yield
+    gc.collect()
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     known = {entry.test: entry for entry in read_known_red(KNOWN_RED)}
     for item in items:
