--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -26,7 +26,7 @@
 
 @pytest.fixture(autouse=True, scope="module")
 def collected_garbage() -> Iterator[None]:
-    """Collect what the event loops of a module leave, so that no finalizer fails in a later test."""
+    """Collect what the event loops of a module leave; finalizers may fail in later tests."""
     yield
     gc.collect()
 
