An entry that loses its part of a rate limit before its first request sends none

Found on reading: where an entry had not sent anything yet, the time of its last request and the new interval, both infinite, add up to no number, and the larger of the two times was then the old one: it could send one request after its part had gone to another. Callers saw nothing; the limit's margin covers one such sender. The test fails before (134 ms instead of never). The interval without end is now handled by itself.

--- a/cactusvane/placement/pacing.py
+++ b/cactusvane/placement/pacing.py
@@ -82,13 +82,14 @@
         """
         if interval_ms == self.interval_ms:
             return
-        starts_at = -inf
-        if self.interval_ms == inf and interval_ms < inf:
-            starts_at = now + random.random() * interval_ms
-        elif self.interval_ms < inf:
-            starts_at = min(self.next_at, now + interval_ms)
+        starts = self.interval_ms == inf
         self.interval_ms = interval_ms
-        self.next_at = max(starts_at, self.last_at + interval_ms)
+        if interval_ms == inf:
+            self.next_at = inf
+            return
+        wait_ms = random.random() * interval_ms if starts else interval_ms
+        first_at = min(self.next_at, now + wait_ms)
+        self.next_at = max(first_at, self.last_at + interval_ms)
 
     def record_start(self, now: float) -> None:
         """Record that a request is sent."""
--- a/tests/placement/test_rate_limits.py
+++ b/tests/placement/test_rate_limits.py
@@ -164,3 +164,10 @@
         placement.record_start(decision.name, now)
         names.append(decision.name)
     assert names.count("t0") <= 1
+
+
+def test_an_entry_that_loses_its_part_before_its_first_request_sends_none() -> None:
+    pacer = Pacer()
+    pacer.set_interval(1_000.0, Random(1), 0.0)
+    pacer.set_interval(inf, Random(1), 100.0)
+    assert pacer.next_at == inf
