--- a/tests/adapter/limited.py
+++ b/tests/adapter/limited.py
@@ -174,7 +174,7 @@
         LossyEndpoint.lost_share = share
 
     async def call_for(self, seconds: float, per_s: float) -> None:
-        """Send requests of callers at random times; entries get unequal shares."""
+        """Send requests of callers at random times to random entries."""
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         due = loop.time()
--- a/tests/adapter/test_rate_limit.py
+++ b/tests/adapter/test_rate_limit.py
@@ -11,16 +11,14 @@
 
 
 async def play_limits(fleet: LimitedFleet) -> None:
-    """Two targets name limits, change and withdraw them; a rush, losses and a restart meanwhile."""
+    """Two targets name limits, one changes its own; a rush, losses and restarts meanwhile."""
     first, second = fleet.limited[0], fleet.limited[1]
     await fleet.call_for(2.0, PER_S)
     first.name_limit(1.3)
     second.name_limit(2.1)
     await fleet.call_for(3.0, PER_S)
     fleet.lose_datagrams(0.1)
-    restarts = [
-        asyncio.ensure_future(fleet.restart(process)) for process in (*fleet.processes[:20:5],)
-    ]
+    restarts = [asyncio.ensure_future(fleet.restart(each)) for each in fleet.processes[:20:5]]
     await fleet.call_for(2.0, PER_S)
     await fleet.call_for(3.0, RUSH_PER_S)
     await asyncio.gather(*restarts)
