Log in which era of the store a table was read, and reads that are older than the copy

The lines could not tell whether a read of the whole table was dropped, nor that the store had come back from an older copy. Nothing is decided by it yet.

--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -111,6 +111,12 @@
     )
     NOTICE_UNUSABLE = EventKind(1707, logging.WARNING, "skipped an invalid state update: {reason}")
     RELAY_CHANGED = EventKind(1708, logging.INFO, "{relay} is now the relay; it was {before}")
+    STORE_RESTORED = EventKind(
+        1709,
+        logging.WARNING,
+        "{table}: the platform came back from an older copy: version {version} of era {era}, "
+        "after version {known_version} of era {before}",
+    )
     TARGET_LISTED = EventKind(
         1801, logging.INFO, "{service}: {target} at {address} is listed as {state}"
     )
--- a/cactusvane/following/follower.py
+++ b/cactusvane/following/follower.py
@@ -221,6 +221,7 @@
             Where the rows come from, for the log.
         """
         first = not self.copy.loaded
+        self.log_era(read, source)
         changed = self.copy.apply(read)
         if changed or first:
             events.write(
@@ -232,6 +233,25 @@
             )
             self.on_change(changed)
 
+    def log_era(self, read: TableRows, source: str) -> None:
+        """Log that rows come from another era of the store than the copy, or are older than it."""
+        copy = self.copy
+        older = read.whole and read.version < copy.version
+        if not older and read.era == copy.era:
+            return
+        events.write(
+            Event.STORE_RESTORED,
+            table=self.table,
+            era=read.era,
+            before=copy.era,
+            version=read.version,
+            known_version=copy.version,
+            whole=read.whole,
+            older=older,
+            source=source,
+        )
+        copy.era = read.era
+
     async def catch_up(self, address: Address, version: int) -> None:
         """Pull the changes up to `version` from the VM at `address`, unless they are known."""
         if self.pulling or version <= self.copy.last_change_version:
--- a/cactusvane/following/table.py
+++ b/cactusvane/following/table.py
@@ -34,11 +34,15 @@
         All rows, or those that changed.
     whole
         Whether `rows` holds the whole table; a row that is missing then does not exist.
+    era
+        Number of times that the store came back from an older copy; versions of different eras
+        cannot be compared.
     """
 
     version: int
     rows: tuple[TableRow, ...]
     whole: bool
+    era: int = 0
 
 
 class TableCopy:
@@ -52,6 +56,8 @@
         Version of the latest change; equal in copies with the same content.
     history_start
         Version before which removals are not known.
+    era
+        Era of the store in which the copy was last read.
 
     Examples
     --------
@@ -71,6 +77,7 @@
         self.last_change_version = 0
         self.rows: dict[str, TableRow] = {}
         self.history_start = 0
+        self.era = 0
 
     @property
     def loaded(self) -> bool:
