--- a/cactusvane/following/follower.py
+++ b/cactusvane/following/follower.py
@@ -237,8 +237,13 @@
         """Log that rows come from another era of the store than the copy, or are older than it."""
         copy = self.copy
         older = read.whole and read.version < copy.version
-        if not older and read.era == copy.era:
-            return
+        if copy.loaded and (older or read.era != copy.era):
+            self.log_restore(read, older, source)
+        copy.era = read.era
+
+    def log_restore(self, read: TableRows, older: bool, source: str) -> None:
+        """Log one read after a restore of the store."""
+        copy = self.copy
         events.write(
             Event.STORE_RESTORED,
             table=self.table,
@@ -250,7 +255,6 @@
             older=older,
             source=source,
         )
-        copy.era = read.era
 
     async def catch_up(self, address: Address, version: int) -> None:
         """Pull the changes up to `version` from the VM at `address`, unless they are known."""
