A table of a later era replaces the copy, whatever its version

What callers saw: after the store came back from an older copy, no entry ever activated a configuration that was acknowledged before the store's counter had passed its old value; its routes were handled by the one before, added paths got 404.

Cause: a copy of a table kept the highest version that it ever had. The whole table that is read after a restore has a lower one and was dropped, so the reader asked again from a version of the past: 410 in turns with dropped reads, without a delay, until the version was given out anew; what was written under the versions between was then never seen. The class is a version that is taken to grow only, ordered without what gives it its meaning.

Rows now carry the era of the store and, for changes, the version that they follow. A whole table of a later era replaces the copy; changes of another era, or from a version that the copy has not reached, leave a gap and are refused, and the whole table is read next. A whole table that is older than the copy counts as a failed read, with backoff. After a replacement the version of the latest change is that of the read, since removals before it are not known: copies that were read earlier in this era are brought up to it.

--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -115,7 +115,13 @@
         1709,
         logging.WARNING,
         "{table}: the platform came back from an older copy: version {version} of era {era}, "
-        "after version {known_version} of era {before}",
+        "after version {known_version} of era {known_era}",
+    )
+    ROWS_REFUSED = EventKind(
+        1710,
+        logging.WARNING,
+        "{table}: ignored rows of version {version} of era {era}; "
+        "version {known_version} of era {known_era} is known",
     )
     TARGET_LISTED = EventKind(
         1801, logging.INFO, "{service}: {target} at {address} is listed as {state}"
--- a/cactusvane/following/follower.py
+++ b/cactusvane/following/follower.py
@@ -8,7 +8,7 @@
 
 from cactusvane import events
 from cactusvane.clock import MS_PER_SECOND, Clock
-from cactusvane.errors import CactusvaneError, PlatformError
+from cactusvane.errors import CactusvaneError, PlatformError, PlatformUnavailableError
 from cactusvane.events import Event
 from cactusvane.fleet.vm import Address
 from cactusvane.following.source import HistoryLostError, TableSource
@@ -156,11 +156,35 @@
         except PlatformError as error:
             await self.handle_failure(error)
             return
+        if not self.copy.accepts(read):
+            await self.handle_refused(read)
+            return
         self.history_lost = False
         self.record_response()
         self.apply(read, "platform")
         await asyncio.sleep(self.next_batch_delay_ms(bool(read.rows)) / MS_PER_SECOND)
 
+    async def handle_refused(self, read: TableRows) -> None:
+        """Read the whole table next after a gap; back off if the platform is behind other VMs."""
+        self.log_refused(read)
+        if read.era < self.copy.era or read.whole:
+            text = f"version {read.version} of era {read.era} is older than what is known"
+            await self.handle_failure(PlatformUnavailableError(text))
+        else:
+            self.history_lost = True
+
+    def log_refused(self, read: TableRows) -> None:
+        """Log rows that the copy does not accept."""
+        events.write(
+            Event.ROWS_REFUSED,
+            table=self.table,
+            version=read.version,
+            era=read.era,
+            known_version=self.copy.version,
+            known_era=self.copy.era,
+            whole=read.whole,
+        )
+
     def next_batch_delay_ms(self, changed: bool) -> float:
         """Return how long to wait for more changes after a read, in milliseconds.
 
@@ -220,42 +244,32 @@
         source
             Where the rows come from, for the log.
         """
-        first = not self.copy.loaded
-        self.log_era(read, source)
-        changed = self.copy.apply(read)
+        copy = self.copy
+        if not copy.accepts(read):
+            self.log_refused(read)
+            return
+        first, era, version = not copy.loaded, copy.era, copy.version
+        changed = copy.apply(read)
+        if copy.era > era and not first:
+            events.write(
+                Event.STORE_RESTORED,
+                table=self.table,
+                era=copy.era,
+                version=copy.version,
+                known_era=era,
+                known_version=version,
+                source=source,
+            )
         if changed or first:
             events.write(
                 Event.TABLE_CHANGED,
                 table=self.table,
-                version=self.copy.version,
+                version=copy.version,
                 rows=len(changed),
                 source=source,
             )
             self.on_change(changed)
 
-    def log_era(self, read: TableRows, source: str) -> None:
-        """Log that rows come from another era of the store than the copy, or are older than it."""
-        copy = self.copy
-        older = read.whole and read.version < copy.version
-        if copy.loaded and (older or read.era != copy.era):
-            self.log_restore(read, older, source)
-        copy.era = read.era
-
-    def log_restore(self, read: TableRows, older: bool, source: str) -> None:
-        """Log one read after a restore of the store."""
-        copy = self.copy
-        events.write(
-            Event.STORE_RESTORED,
-            table=self.table,
-            era=read.era,
-            before=copy.era,
-            version=read.version,
-            known_version=copy.version,
-            whole=read.whole,
-            older=older,
-            source=source,
-        )
-
     async def catch_up(self, address: Address, version: int) -> None:
         """Pull the changes up to `version` from the VM at `address`, unless they are known."""
         if self.pulling or version <= self.copy.last_change_version:
--- a/cactusvane/following/table.py
+++ b/cactusvane/following/table.py
@@ -37,12 +37,15 @@
     era
         Number of times that the store came back from an older copy; versions of different eras
         cannot be compared.
+    after
+        Version after which `rows` holds all changes, where it does not hold the whole table.
     """
 
     version: int
     rows: tuple[TableRow, ...]
     whole: bool
     era: int = 0
+    after: int = 0
 
 
 class TableCopy:
@@ -57,7 +60,7 @@
     history_start
         Version before which removals are not known.
     era
-        Era of the store in which the copy was last read.
+        Era of the store that the versions belong to.
 
     Examples
     --------
@@ -70,6 +73,9 @@
     ['b']
     >>> copy.changes_since(7).rows
     (TableRow(key='a', value=None, version=9),)
+    >>> restored = TableRows(5, (TableRow("a", b"1", 5),), whole=True, era=1)
+    >>> copy.apply(restored), copy.version
+    (('b', 'a'), 5)
     """
 
     def __init__(self) -> None:
@@ -88,16 +94,29 @@
         """Return the values of all rows that exist, by key."""
         return {key: row.value for key, row in self.rows.items() if row.value is not None}
 
+    def accepts(self, read: TableRows) -> bool:
+        """Return whether rows that were read are not older than the copy, and leave no gap.
+
+        Changes leave a gap where the store came back from an older copy since the version that
+        they follow: what was written under the versions that were given out anew is not among them.
+        """
+        if read.whole:
+            return (read.era, read.version) >= (self.era, self.version)
+        return read.era == self.era and read.after <= self.version
+
     def apply(self, read: TableRows) -> tuple[str, ...]:
-        """Apply rows that were read; rows older than those of the copy are ignored.
+        """Apply rows that were read, if the copy accepts them.
 
         Returns
         -------
         tuple of str
             Keys of the rows whose values changed.
         """
-        if read.whole and read.version < self.version:
+        if not self.accepts(read):
             return ()
+        if read.era > self.era and self.loaded:
+            return self.replace(read)
+        self.era = read.era
         changed = [row.key for row in read.rows if self.apply_row(row)]
         if read.whole:
             changed += self.remove_missing(read)
@@ -106,6 +125,19 @@
         self.version = max(self.version, read.version)
         return tuple(changed)
 
+    def replace(self, read: TableRows) -> tuple[str, ...]:
+        """Replace the copy by the whole table of a later era, and return the changed keys.
+
+        Removals that precede this read are not known, so any copy that was read earlier in this
+        era counts as older.
+        """
+        before = self.values()
+        self.rows = {row.key: row for row in read.rows}
+        self.era = read.era
+        self.version = self.last_change_version = self.history_start = read.version
+        after = self.values()
+        return tuple(key for key in before | after if before.get(key) != after.get(key))
+
     def apply_row(self, row: TableRow) -> bool:
         """Apply one row, and return whether its value changed."""
         known = self.rows.get(row.key)
@@ -128,6 +160,6 @@
         """Return the changes after `version`, or the whole table if they are not known."""
         if version < self.history_start:
             rows = tuple(row for row in self.rows.values() if row.value is not None)
-            return TableRows(self.version, rows, whole=True)
+            return TableRows(self.version, rows, whole=True, era=self.era)
         rows = tuple(row for row in self.rows.values() if row.version > version)
-        return TableRows(self.version, rows, whole=False)
+        return TableRows(self.version, rows, whole=False, era=self.era, after=version)
