--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -11,7 +11,8 @@
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.fleet_process import CONFIGURATION_TABLE, TARGETS_TABLE
 from cactusvane.following.source import HistoryLostError
-from cactusvane.http.message import Response
+from cactusvane.http.exchange import Caller
+from cactusvane.http.message import Request, Response
 from tests.adapter.store_standin import LIMIT, StoreStandin
 
 Scenario = Callable[[StoreStandin, Store], Awaitable[None]]
@@ -43,10 +44,10 @@
 
 
 class RestoredBetweenParts(StoreStandin):
-    """A store that goes back after the first part of a response."""
+    """A store that goes back after its first response."""
 
-    def get(self, query: dict[str, str]) -> Response:
-        response = super().get(query)
+    async def handle(self, request: Request, caller: Caller) -> Response:
+        response = await super().handle(request, caller)
         if self.era == 1:
             self.restore(1)
         return response
