Entries compare what they have of a table by era and version

What callers saw: behind an entry that could not reach the store itself, requests were handled by the configuration before, for as long as the store's new counter stayed below the old one.

Cause: the positions of copies that entries tell each other were versions alone. After a restore an entry of the era before looks newest; it was asked for changes by those that had not noticed yet, and did not ask anybody itself. A history of one era also answered a request from a version of another.

A position is now a pair that compares by era first. Updates carry the eras as a last member, which earlier builds ignore; entries of earlier builds count as era 0. A request for changes from another era gets the whole table.

--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -27,7 +27,7 @@
     TABLES_PATH,
     EntryClient,
     encode_response,
-    requested_version,
+    requested_position,
 )
 from cactusvane.following.finder import EntryFinder
 from cactusvane.following.follower import FollowSettings, TableFollower
@@ -254,6 +254,11 @@
             table_versions={
                 name: follower.copy.last_change_version for name, follower in self.followers.items()
             },
+            table_eras={
+                name: follower.copy.era
+                for name, follower in self.followers.items()
+                if follower.copy.era
+            },
         )
 
     def should_read(self) -> bool:
@@ -349,8 +354,8 @@
             store_status = relayed_update.update.store_status
             if store_status is None:
                 continue
-            for table, version in store_status.table_versions.items():
-                if self.puller.should_pull(table, version):
+            for table in store_status.table_versions:
+                if self.puller.should_pull(table, store_status.position(table)):
                     self.start_task(self.puller.pull(table))
             if store_status.failure_age_ms is not None:
                 self.lapsed.record_failure(self.clock.now() - store_status.failure_age_ms)
@@ -421,7 +426,7 @@
             raise bad_request(
                 "no-route", f"the paths are {ENTRIES_PATH} and {TABLES_PATH}NAME", 404
             )
-        return encode_response(follower.copy.changes_since(requested_version(request)))
+        return encode_response(follower.copy.changes_since(requested_position(request)))
 
 
 def reader_candidate(vm: str, status: StoreStatus, received_ago_ms: float) -> ReaderCandidate:
--- a/cactusvane/following/exchange.py
+++ b/cactusvane/following/exchange.py
@@ -6,7 +6,7 @@
 
 from cactusvane.errors import PlatformUnavailableError
 from cactusvane.fleet.vm import Address, Vm
-from cactusvane.following.table import TableRows
+from cactusvane.following.table import TablePosition, TableRows
 from cactusvane.http.check import bad_request
 from cactusvane.http.fetch import fetch
 from cactusvane.http.message import Request, Response
@@ -15,6 +15,8 @@
 TABLES_PATH = "/tables/"
 ENTRIES_PATH = "/entries"
 
+MAX_INTEGER_DIGITS = 18
+
 REQUEST_TIMEOUT_MS = 700.0
 """Timeout of one request from an entry to another entry."""
 
@@ -25,17 +27,29 @@
     return Response(200, headers, msgspec.msgpack.encode(value))
 
 
-def requested_version(request: Request) -> int:
-    """Return the version after which a request asks for changes; 0 for the whole table.
+def requested_position(request: Request) -> TablePosition:
+    """Return the position after which a request asks for changes.
+
+    Raises
+    ------
+    RequestError
+        The version or the era is not an integer.
+    """
+    query = parse_qs(request.target.partition("?")[2])
+    return TablePosition(era=query_integer(query, "era"), version=query_integer(query, "after"))
+
+
+def query_integer(query: dict[str, list[str]], name: str) -> int:
+    """Return an integer of a query; 0 if it is missing.
 
     Raises
     ------
     RequestError
-        The version is not an integer.
+        The value is not an integer.
     """
-    text = parse_qs(request.target.partition("?")[2]).get("after", ["0"])[0]
-    if not text.isdigit():
-        raise bad_request("bad-version", f"after={text} is not an integer")
+    text = query.get(name, ["0"])[0]
+    if not (text.isascii() and text.isdigit()) or len(text) > MAX_INTEGER_DIGITS:
+        raise bad_request("bad-version", f"{name}={text} is not an integer")
     return int(text)
 
 
@@ -51,8 +65,8 @@
     def __init__(self, limits: HttpLimits) -> None:
         self.limits = limits
 
-    async def pull(self, address: Address, table: str, after: int) -> TableRows:
-        """Return the changes in another entry's copy of a table after a version.
+    async def pull(self, address: Address, table: str, after: TablePosition) -> TableRows:
+        """Return the changes in another entry's copy of a table after a position.
 
         Parameters
         ----------
@@ -61,14 +75,15 @@
         table
             Name of the table.
         after
-            Version of the latest known change; 0 for the whole table.
+            Position of the latest known change; zeros for the whole table.
 
         Raises
         ------
         CactusvaneError
             The entry did not respond with rows.
         """
-        body = await self.get(address, f"{TABLES_PATH}{table}?after={after}")
+        query = f"after={after.version}&era={after.era}"
+        body = await self.get(address, f"{TABLES_PATH}{table}?{query}")
         try:
             return msgspec.msgpack.decode(body, type=TableRows)
         except msgspec.DecodeError as error:
--- a/cactusvane/following/finder.py
+++ b/cactusvane/following/finder.py
@@ -11,6 +11,7 @@
 from cactusvane.following.directory import EntryDirectory
 from cactusvane.following.exchange import EntryClient
 from cactusvane.following.follower import TableFollower
+from cactusvane.following.table import TablePosition
 from cactusvane.placement.domain import Domain
 from cactusvane.settings import Settings
 
@@ -104,9 +105,9 @@
             self.add_entries(await self.entry_client.entries(address))
             for follower in self.followers.values():
                 if not follower.copy.loaded:
-                    follower.apply(
-                        await self.entry_client.pull(address, follower.table, 0), "entry"
-                    )
+                    whole = TablePosition()
+                    read = await self.entry_client.pull(address, follower.table, whole)
+                    follower.apply(read, "entry")
         except CactusvaneError as error:
             events.write(Event.PULL_FAILED, table="all", peer=str(address), reason=str(error))
 
--- a/cactusvane/following/follower.py
+++ b/cactusvane/following/follower.py
@@ -12,7 +12,7 @@
 from cactusvane.events import Event
 from cactusvane.fleet.vm import Address
 from cactusvane.following.source import HistoryLostError, TableSource
-from cactusvane.following.table import TableCopy, TableRows
+from cactusvane.following.table import TableCopy, TablePosition, TableRows
 
 MIN_RETRY_DELAY_MS = 100.0
 MAX_RETRY_DELAY_MS = 1_000.0
@@ -52,8 +52,8 @@
     startup_spread_ms: float = 0.0
 
 
-Pull = Callable[[Address, str, int], Awaitable[TableRows]]
-"""Requests the changes in a table after a version from the VM at an address."""
+Pull = Callable[[Address, str, TablePosition], Awaitable[TableRows]]
+"""Requests the changes in a table after a position from the VM at an address."""
 
 
 class TableFollower:
@@ -270,15 +270,14 @@
             )
             self.on_change(changed)
 
-    async def catch_up(self, address: Address, version: int) -> None:
-        """Pull the changes up to `version` from the VM at `address`, unless they are known."""
-        if self.pulling or version <= self.copy.last_change_version:
+    async def catch_up(self, address: Address, position: TablePosition) -> None:
+        """Pull the changes up to `position` from the VM at `address`, unless they are known."""
+        if self.pulling or position <= self.copy.last_change:
             return
         self.pulling = True
         try:
-            self.apply(
-                await self.pull(address, self.table, self.copy.last_change_version), str(address)
-            )
+            read = await self.pull(address, self.table, self.copy.last_change)
+            self.apply(read, str(address))
         except CactusvaneError as error:
             events.write(Event.PULL_FAILED, table=self.table, peer=str(address), reason=str(error))
         finally:
--- a/cactusvane/following/puller.py
+++ b/cactusvane/following/puller.py
@@ -12,6 +12,7 @@
 from cactusvane.clock import MS_PER_SECOND, Clock
 from cactusvane.fleet.vm import Address
 from cactusvane.following.follower import TableFollower
+from cactusvane.following.table import TablePosition
 from cactusvane.placement.domain import Domain
 
 FANOUT_STEP_MS = 100.0
@@ -30,7 +31,7 @@
     Parameters
     ----------
     domain
-        The other entries and the versions that they have.
+        The other entries and the positions of the tables that they have.
     followers
         Followers of the tables, by table name.
     clock
@@ -53,12 +54,12 @@
         self.random = random
         self.pending: set[str] = set()
 
-    def should_pull(self, table: str, version: int) -> bool:
-        """Return whether to start a pull for a version of a table that another entry has."""
+    def should_pull(self, table: str, position: TablePosition) -> bool:
+        """Return whether to start a pull for a position of a table that another entry has."""
         follower = self.followers.get(table)
         if follower is None or table in self.pending:
             return False
-        return version > follower.copy.last_change_version
+        return position > follower.copy.last_change
 
     async def pull(self, table: str) -> None:
         """Pull the changes of a table from another entry, after a random delay."""
@@ -84,22 +85,22 @@
         entries = len(self.domain.group())
         return wait_ms + FANOUT_STEP_MS * log2(1.0 + self.random.random() * entries)
 
-    def choose_holder(self, follower: TableFollower) -> tuple[Address, int] | None:
-        """Return the address of a random entry with the newest version, and that version.
+    def choose_holder(self, follower: TableFollower) -> tuple[Address, TablePosition] | None:
+        """Return the address of a random entry with the latest position, and that position.
 
         Returns
         -------
-        tuple of Address and int, or None
-            None where no live entry has a newer version than this one.
+        tuple of Address and TablePosition, or None
+            None where no live entry has a later position than this one.
         """
         table = follower.table
-        versions = {
-            peer.address: peer.store_status.table_versions.get(table, 0)
+        positions = {
+            peer.address: peer.store_status.position(table)
             for peer in self.domain.live_peers(self.clock.now()).values()
             if peer.store_status is not None
         }
-        newest = max(versions.values(), default=0)
-        if newest <= follower.copy.last_change_version:
+        latest = max(positions.values(), default=TablePosition())
+        if latest <= follower.copy.last_change:
             return None
-        holders = [address for address, version in versions.items() if version == newest]
-        return self.random.choice(holders), newest
+        holders = [address for address, position in positions.items() if position == latest]
+        return self.random.choice(holders), latest
--- a/cactusvane/following/table.py
+++ b/cactusvane/following/table.py
@@ -22,6 +22,20 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class TablePosition:
+    """Version of a table in an era of the store; later positions compare as greater.
+
+    Examples
+    --------
+    >>> TablePosition(2, 60) > TablePosition(1, 74)
+    True
+    """
+
+    era: int = 0
+    version: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class TableRows:
     """Rows of a table as of one version.
@@ -56,7 +70,7 @@
     version
         The platform's version up to which the copy is complete.
     last_change_version
-        Version of the latest change; equal in copies with the same content.
+        Version of the latest change.
     history_start
         Version before which removals are not known.
     era
@@ -71,7 +85,7 @@
     ('a',)
     >>> sorted(copy.values())
     ['b']
-    >>> copy.changes_since(7).rows
+    >>> copy.changes_since(TablePosition(0, 7)).rows
     (TableRow(key='a', value=None, version=9),)
     >>> restored = TableRows(5, (TableRow("a", b"1", 5),), whole=True, era=1)
     >>> copy.apply(restored), copy.version
@@ -90,6 +104,11 @@
         """Whether the whole table was read at least once."""
         return self.version > 0
 
+    @property
+    def last_change(self) -> TablePosition:
+        """Position of the latest change; equal in copies with the same content."""
+        return TablePosition(self.era, self.last_change_version)
+
     def values(self) -> dict[str, bytes]:
         """Return the values of all rows that exist, by key."""
         return {key: row.value for key, row in self.rows.items() if row.value is not None}
@@ -156,9 +175,10 @@
             self.apply_row(TableRow(key, None, read.version))
         return missing
 
-    def changes_since(self, version: int) -> TableRows:
-        """Return the changes after `version`, or the whole table if they are not known."""
-        if version < self.history_start:
+    def changes_since(self, position: TablePosition) -> TableRows:
+        """Return the changes after a position, or the whole table if they are not known."""
+        version = position.version
+        if position.era != self.era or version < self.history_start:
             rows = tuple(row for row in self.rows.values() if row.value is not None)
             return TableRows(self.version, rows, whole=True, era=self.era)
         rows = tuple(row for row in self.rows.values() if row.version > version)
--- a/cactusvane/placement/messages.py
+++ b/cactusvane/placement/messages.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from cactusvane.fleet.vm import Address
+from cactusvane.following.table import TablePosition
 from cactusvane.outcome import Outcome
 from cactusvane.placement.retries import RetryUsage
 
@@ -148,13 +149,20 @@
     failure_age_ms
         Age of the latest call without a response; None if there is none.
     table_versions
-        Latest version that the entry has of each table.
+        Version of the latest change of each table that the entry has.
+    table_eras
+        Era of the store that this version belongs to; without the tables of era 0.
     """
 
     can_read: bool
     response_age_ms: float | None
     failure_age_ms: float | None
     table_versions: dict[str, int]
+    table_eras: dict[str, int] = {}
+
+    def position(self, table: str) -> TablePosition:
+        """Return the position of the latest change of a table that the entry has."""
+        return TablePosition(self.table_eras.get(table, 0), self.table_versions.get(table, 0))
 
 
 class RateLimitReport(msgspec.Struct, frozen=True, array_like=True):
--- a/cactusvane/placement/outbox.py
+++ b/cactusvane/placement/outbox.py
@@ -5,6 +5,8 @@
 
 from math import inf
 
+from msgspec.structs import replace
+
 from cactusvane.placement.messages import Observation, StoreStatus
 from cactusvane.placement.retries import RetryUsage, SharedRetries
 
@@ -64,9 +66,14 @@
         """Return the store status if it is to be sent now; None otherwise."""
         sent = self.sent_status
         sent_ago_ms = now - self.status_sent_at
-        same = sent is not None and (sent.table_versions, sent.can_read) == (
-            store_status.table_versions,
-            store_status.can_read,
+        same = (
+            sent is not None
+            and replace(
+                sent,
+                response_age_ms=store_status.response_age_ms,
+                failure_age_ms=store_status.failure_age_ms,
+            )
+            == store_status
         )
         has_new_response = (
             store_status.response_age_ms is not None and store_status.response_age_ms < sent_ago_ms
--- a/tests/following/test_follower.py
+++ b/tests/following/test_follower.py
@@ -12,7 +12,7 @@
 from cactusvane.following.follower import FollowSettings, TableFollower
 from cactusvane.following.readers import TAKEOVER_INTERVAL_MS, ReaderCandidate, is_reader
 from cactusvane.following.source import HistoryLostError
-from cactusvane.following.table import TableRow, TableRows
+from cactusvane.following.table import TablePosition, TableRow, TableRows
 
 PEER = Address("10.0.0.9", 1)
 ALL = TableRows(5, (TableRow("a", b"1", 5),), whole=True)
@@ -47,7 +47,7 @@
         return self.next_step(f"after {after}")
 
 
-async def no_pull(address: Address, table: str, after: int) -> TableRows:
+async def no_pull(address: Address, table: str, after: TablePosition) -> TableRows:
     raise PlatformUnavailableError("nobody")
 
 
@@ -95,10 +95,10 @@
 
 
 def test_concurrent_catch_ups_pull_a_change_only_once() -> None:
-    versions = []
+    positions = []
 
-    async def pull(address: Address, table: str, after: int) -> TableRows:
-        versions.append(after)
+    async def pull(address: Address, table: str, after: TablePosition) -> TableRows:
+        positions.append(after)
         await asyncio.sleep(0)
         return CHANGE
 
@@ -107,11 +107,11 @@
     follower.copy.apply(ALL)
 
     async def run() -> None:
-        await asyncio.gather(*(follower.catch_up(PEER, 6) for _ in range(3)))
-        await follower.catch_up(PEER, 6)
+        await asyncio.gather(*(follower.catch_up(PEER, TablePosition(0, 6)) for _ in range(3)))
+        await follower.catch_up(PEER, TablePosition(0, 6))
 
     asyncio.run(run())
-    assert versions == [5]
+    assert positions == [TablePosition(0, 5)]
     assert follower.copy.values() == {"a": b"2"}
 
 
--- a/tests/following/test_puller.py
+++ b/tests/following/test_puller.py
@@ -8,7 +8,7 @@
 from cactusvane.fleet.vm import Address
 from cactusvane.following.follower import FollowSettings, TableFollower
 from cactusvane.following.puller import FANOUT_STEP_MS, FIRST_READ_WAIT_MS, TablePuller
-from cactusvane.following.table import TableRow, TableRows
+from cactusvane.following.table import TablePosition, TableRow, TableRows
 from cactusvane.placement.domain import Domain
 from cactusvane.placement.messages import StateUpdate, StoreStatus
 from tests.following.test_follower import ScriptedSource
@@ -20,7 +20,7 @@
     def __init__(self) -> None:
         self.addresses: list[Address] = []
 
-    async def pull(self, address: Address, table: str, after: int) -> TableRows:
+    async def pull(self, address: Address, table: str, after: TablePosition) -> TableRows:
         self.addresses.append(address)
         return CHANGED
 
@@ -47,11 +47,11 @@
     chosen = set()
     for seed in range(20):
         puller, recording = make_puller(3, {0: 9, 2: 9}, seed)
-        assert puller.should_pull("targets", 9)
+        assert puller.should_pull("targets", TablePosition(0, 9))
         asyncio.run(puller.pull("targets"))
         chosen.update(address.port for address in recording.addresses)
         assert len(recording.addresses) == 1
-        assert not puller.should_pull("targets", 9)
+        assert not puller.should_pull("targets", TablePosition(0, 9))
     assert chosen == {0, 2}
 
 
@@ -69,7 +69,7 @@
     puller, recording = make_puller(3, {0: 9, 1: 9, 2: 9})
     follower = puller.followers["targets"]
 
-    async def fail_once(address: Address, table: str, after: int) -> TableRows:
+    async def fail_once(address: Address, table: str, after: TablePosition) -> TableRows:
         if not recording.addresses:
             recording.addresses.append(address)
             raise PlatformUnavailableError("nobody")
--- a/tests/following/test_table.py
+++ b/tests/following/test_table.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cactusvane.following.table import TableCopy, TableRow, TableRows
+from cactusvane.following.table import TableCopy, TablePosition, TableRow, TableRows
 
 
 def whole(version: int, **values: tuple[bytes, int]) -> TableRows:
@@ -28,9 +28,9 @@
 def test_rows_missing_in_a_whole_read_are_removed_from_other_copies_too() -> None:
     copy, other = TableCopy(), TableCopy()
     copy.apply(whole(5, a=(b"1", 4), b=(b"2", 5)))
-    other.apply(copy.changes_since(0))
+    other.apply(copy.changes_since(TablePosition()))
     copy.apply(whole(8, a=(b"1", 4)))
-    other.apply(copy.changes_since(other.last_change_version))
+    other.apply(copy.changes_since(other.last_change))
     assert other.values() == {"a": b"1"}
     assert other.last_change_version == copy.last_change_version
 
@@ -58,6 +58,6 @@
         version = number + 2
         copy.apply(TableRows(version, (TableRow(key, value, version),), whole=False))
         if number in pulls:
-            other.apply(copy.changes_since(other.last_change_version))
-    other.apply(copy.changes_since(other.last_change_version))
+            other.apply(copy.changes_since(other.last_change))
+    other.apply(copy.changes_since(other.last_change))
     assert other.values() == copy.values()
