Whole reads of a table leave no gap in its history

What callers could have seen: requests at targets that had been removed while a failure domain's copies were read anew, until the table changed again.

A whole read in the same era kept the start of the history where it was, so a copy that had never had a row told others of no removal; the copy that replaced one of an earlier era named the reader's own version as its latest change, by which the entry that it was taken from looked older; late changes from before a whole read brought removed rows back.

Not mended: two copies that were read whole for the first time, around a removal that no entry of the domain follows, still count as equal.

--- a/cactusvane/following/table.py
+++ b/cactusvane/following/table.py
@@ -53,6 +53,9 @@
         cannot be compared.
     after
         Version after which `rows` holds all changes, where it does not hold the whole table.
+    last_change
+        Version of the latest change in the copy that the whole table was taken from; None if it
+        was read from the store.
     """
 
     version: int
@@ -60,6 +63,7 @@
     whole: bool
     era: int = 0
     after: int = 0
+    last_change: int | None = None
 
 
 class TableCopy:
@@ -72,7 +76,7 @@
     last_change_version
         Version of the latest change.
     history_start
-        Version before which removals are not known.
+        Version of the latest read of the whole table; removals before it are not known.
     era
         Era of the store that the versions belong to.
 
@@ -133,53 +137,51 @@
         """
         if not self.accepts(read):
             return ()
-        if read.era > self.era and self.loaded:
+        if read.whole and (read.era, read.version) > (self.era, self.version):
             return self.replace(read)
-        self.era = read.era
         changed = [row.key for row in read.rows if self.apply_row(row)]
-        if read.whole:
-            changed += self.remove_missing(read)
-        if read.whole and not self.loaded:
-            self.history_start = read.version
         self.version = max(self.version, read.version)
         return tuple(changed)
 
     def replace(self, read: TableRows) -> tuple[str, ...]:
-        """Replace the copy by the whole table of a later era, and return the changed keys.
-
-        Removals that precede this read are not known, so any copy that was read earlier in this
-        era counts as older.
-        """
+        """Replace the copy by a later read of the whole table, and return the changed keys."""
         before = self.values()
+        self.last_change_version = self.last_change_after(read)
         self.rows = {row.key: row for row in read.rows}
         self.era = read.era
-        self.version = self.last_change_version = self.history_start = read.version
+        self.version = self.history_start = read.version
         after = self.values()
         return tuple(key for key in before | after if before.get(key) != after.get(key))
 
+    def last_change_after(self, read: TableRows) -> int:
+        """Return the version of the latest change in a copy that a read replaces.
+
+        Removals between the copy and a read from the store are not known. Any copy from before the
+        read may lack one of them and has to count as older, so the read itself is the change.
+        """
+        if not self.loaded:
+            latest = max((row.version for row in read.rows), default=0)
+            return latest if read.last_change is None else read.last_change
+        latest = read.version if read.last_change is None else read.last_change
+        return max(latest, self.last_change_version) if read.era == self.era else latest
+
     def apply_row(self, row: TableRow) -> bool:
         """Apply one row, and return whether its value changed."""
         known = self.rows.get(row.key)
-        if known is not None and known.version >= row.version:
+        known_version = self.history_start if known is None else known.version
+        if row.version <= known_version:
             return False
         self.rows[row.key] = row
         self.last_change_version = max(self.last_change_version, row.version)
         before = known.value if known is not None else None
         return before != row.value
 
-    def remove_missing(self, read: TableRows) -> list[str]:
-        """Mark rows that are missing in a read of the whole table as removed; return their keys."""
-        present = {row.key for row in read.rows}
-        missing = [key for key in self.values() if key not in present]
-        for key in missing:
-            self.apply_row(TableRow(key, None, read.version))
-        return missing
-
     def changes_since(self, position: TablePosition) -> TableRows:
         """Return the changes after a position, or the whole table if they are not known."""
         version = position.version
         if position.era != self.era or version < self.history_start:
             rows = tuple(row for row in self.rows.values() if row.value is not None)
-            return TableRows(self.version, rows, whole=True, era=self.era)
+            last_change = self.last_change_version
+            return TableRows(self.version, rows, True, self.era, last_change=last_change)
         rows = tuple(row for row in self.rows.values() if row.version > version)
         return TableRows(self.version, rows, whole=False, era=self.era, after=version)
