A restored row does not bring back a target that left

What callers saw: requests at targets that had left or were leaving, which end in failures, or keep work from a target that wants to stop.

Cause: the rows of a restored copy were taken for the present. They list a target that has left since as ready, and one that is leaving as it was before its notice.

Targets that are only retained in an outage have not left.

An entry that starts after the restore does not know these targets: the store drops their rows after three heartbeats.

Ruled out: the sequence number in a target's row. It rises without a change of the row, so the last one that an entry saw may be lower than that of a restored row.

--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -138,6 +138,11 @@
     RATE_SHARE_CHANGED = EventKind(
         1808, logging.INFO, "{target}: this VM sends one request per {interval_ms} ms at most"
     )
+    TARGET_ROW_OUTDATED = EventKind(
+        1809,
+        logging.INFO,
+        "{service}: ignored the restored row of {target} as {state}; it is known as {known}",
+    )
     REQUEST_ATTEMPTED = EventKind(1804, logging.INFO, "{request}: {target}: {outcome}")
     REQUEST_ENDED = EventKind(1805, logging.INFO, "{request}: {status}, {verdict}")
     LINES_DROPPED = EventKind(1901, logging.WARNING, "{lines} log lines were dropped")
--- a/cactusvane/fleet/vm.py
+++ b/cactusvane/fleet/vm.py
@@ -55,6 +55,9 @@
     warm_up_ms
         Remaining warm-up time of a target when it was listed, in milliseconds; until then it is
         slow.
+    started_ms
+        Start time of the target's process in milliseconds since the epoch; 0 if unknown. A target
+        may start again under its name.
     """
 
     name: str
@@ -67,6 +70,7 @@
     state: VmState = VmState.LIVE
     slots: int = 0
     warm_up_ms: float = 0.0
+    started_ms: int = 0
 
 
 def group_by_service(vms: tuple[Vm, ...]) -> dict[str, tuple[Vm, ...]]:
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -18,6 +18,7 @@
 from cactusvane.errors import CactusvaneError
 from cactusvane.events import Event
 from cactusvane.fleet.changes import log_changes
+from cactusvane.fleet.departed import DepartedTargets
 from cactusvane.fleet.lapse import LapsedTargets
 from cactusvane.fleet.vm import Vm
 from cactusvane.following.decoder import TableDecoder, VersionedConfiguration
@@ -92,12 +93,15 @@
         How requests are placed, and which share of a service's targets must stay in use.
     target_drain_ms
         Time from the notice that a target is leaving until it may get no more requests.
+    target_lapse_ms
+        Time after which the store drops the row of a silent target.
     """
 
     retries: RetryLimit
     follow: FollowSettings
     placement: PlacementSettings
     target_drain_ms: float = 2_000.0
+    target_lapse_ms: float = 4_500.0
 
     def max_retention_ms(self, connect_ms: float) -> float:
         """Return how long a target that may have left is retained.
@@ -190,6 +194,7 @@
             self.clock,
         )
         self.puller = TablePuller(self.domain, self.followers, self.clock, self.random)
+        self.departed = DepartedTargets(fleet.target_lapse_ms)
         self.lapsed = LapsedTargets(fleet.max_retention_ms(settings.http.connect_ms))
         self.server = Server(settings.http, self.entry.handle)
         self.admin = Server(settings.http, self.handle_admin_request)
@@ -332,10 +337,17 @@
         self.log_ready()
 
     def refresh_targets(self) -> None:
-        """Pass all targets to the entry, with those that lapsed in an outage."""
-        rows = self.followers[TARGETS_TABLE].copy.values()
-        listed = self.platform.decoder.targets(rows)
-        before, self.listed = self.listed, self.lapsed.update(listed, self.clock.now())
+        """Pass all targets to the entry, with those that lapsed in an outage.
+
+        Rows that came back with an older copy of the store are outdated where more is known.
+        """
+        now = self.clock.now()
+        copy = self.followers[TARGETS_TABLE].copy
+        listed = self.platform.decoder.targets(copy.values())
+        row_versions = {key: row.version for key, row in copy.rows.items()}
+        retained = self.lapsed.update(listed, now)
+        before = self.listed
+        self.listed = self.departed.update(retained, row_versions, copy.era, now)
         log_changes(before, self.listed)
         self.entry.update_vms(self.listed)
 
@@ -374,7 +386,7 @@
         failed_at = self.followers[TARGETS_TABLE].last_failure_at
         if failed_at is not None:
             self.lapsed.record_failure(failed_at)
-        if self.lapsed.has_expired(now):
+        if self.lapsed.has_expired(now) or self.departed.has_expired(now):
             self.refresh_targets()
 
     def reload_settings(self) -> None:
