A target that a restored copy lacks is used until it can have registered again

What callers saw: rejections for up to half a second where all targets of a service had registered after the copy was made; they are listed again within two seconds.

Cause: a row that is missing in a restored copy was taken for a removal. It was retained as in an outage, for at most the time in which a target that left must be dropped (1.4 s), or not at all where this VM had no failed call. A missing row says nothing of leaving here, so that bound does not apply.

--- a/cactusvane/fleet/lapse.py
+++ b/cactusvane/fleet/lapse.py
@@ -69,7 +69,7 @@
         """
         self.last_failure_at = max(self.last_failure_at, at)
 
-    def update(self, vms: tuple[Vm, ...], now: float) -> tuple[Vm, ...]:
+    def update(self, vms: tuple[Vm, ...], now: float, restored: bool = False) -> tuple[Vm, ...]:
         """Apply a list of targets, and return it together with the retained targets.
 
         Parameters
@@ -78,9 +78,14 @@
             Targets that are registered in the store.
         now
             Current time in milliseconds (monotonic clock of the process).
+        restored
+            Whether the list is the first one after the store came back from an older copy. A
+            target that is missing in it registered later, and has not left.
         """
         present = {vm.name: vm for vm in vms}
         expires_at = min(self.last_failure_at + REREGISTRATION_MS, now + self.max_retention_ms)
+        if restored:
+            expires_at = now + REREGISTRATION_MS
         for name, vm in self.present.items():
             if name not in present and vm.state is VmState.LIVE:
                 self.retained[name] = RetainedTarget(vm, expires_at)
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -345,7 +345,8 @@
         copy = self.followers[TARGETS_TABLE].copy
         listed = self.platform.decoder.targets(copy.values())
         row_versions = {key: row.version for key, row in copy.rows.items()}
-        retained = self.lapsed.update(listed, now)
+        restored = self.departed.was_restored(copy.era)
+        retained = self.lapsed.update(listed, now, restored)
         before = self.listed
         self.listed = self.departed.update(retained, row_versions, copy.era, now)
         log_changes(before, self.listed)
--- a/tests/adapter/limited.py
+++ b/tests/adapter/limited.py
@@ -135,6 +135,7 @@
         self.calls: set[asyncio.Task[None]] = set()
         self.served = 0
         self.unserved = 0
+        self.rejected = 0
         self.sent = 0
 
     def prepare(self, process: FleetProcess) -> None:
@@ -201,6 +202,7 @@
                 return
             if response.status != 503:
                 break
+            self.rejected += 1
         self.unserved += 1
 
     async def finish(self) -> None:
--- a/tests/adapter/test_restore.py
+++ b/tests/adapter/test_restore.py
@@ -9,6 +9,7 @@
 DRAIN_S = 2.0
 """Time from the notice that a target is leaving until it may get no more requests."""
 
+REREGISTRATION_S = 1.9
 REGISTRATION_S = 5.0
 LOST_WRITES = 9
 ZONES = {"estrie": 3, "monteregie": 3, "beauce": 2}
@@ -97,6 +98,24 @@
     run_scenario(scenario)
 
 
+def test_targets_that_the_restored_copy_lacks_are_used_until_they_register_again() -> None:
+    """They write their rows up to two seconds after the store is back."""
+
+    async def scenario(fleet: RestoredFleet) -> None:
+        fleet.list_targets()
+        fleet.publish()
+        await fleet.call_for(1.0, CALLS_PER_S)
+        fleet.store.restore(0)
+        fleet.store.put("op", "config", fleet.configuration)
+        await fleet.call_for(REREGISTRATION_S, CALLS_PER_S)
+        fleet.list_targets()
+        await fleet.call_for(1.0, CALLS_PER_S)
+        await asyncio.gather(*fleet.calls)
+        assert (fleet.unserved, fleet.rejected) == (0, 0)
+
+    run_scenario(scenario)
+
+
 def test_an_entry_that_starts_before_the_operator_writes_again_waits_for_the_newest() -> None:
     """The store has an older configuration than the other entries of its failure domain."""
 
--- a/tests/fleet/test_lapse.py
+++ b/tests/fleet/test_lapse.py
@@ -54,6 +54,13 @@
     assert lapsed.update((ONE,), 1_700.0) == (ONE,)
 
 
+def test_a_target_that_a_restored_copy_lacks_is_retained_without_an_outage() -> None:
+    lapsed = LapsedTargets(MAX_RETENTION_MS)
+    lapsed.update((ONE, TWO), 0.0)
+    assert lapsed.update((ONE,), 500.0, restored=True) == (ONE, TWO)
+    assert lapsed.update((ONE,), 500.0 + REREGISTRATION_MS) == (ONE,)
+
+
 def test_a_target_is_not_retained_if_its_address_has_a_new_owner() -> None:
     lapsed = LapsedTargets(MAX_RETENTION_MS)
     lapsed.update((ONE, TWO), 0.0)
