An entry that starts takes the newest configuration that others have before it is ready

What callers saw: after a restart, requests handled by a configuration that was two versions older than that of the other entries, until the operator had written again.

Cause: between the store's return and the operator's next write the store has an older configuration. Entries that run keep the newer one, since operators' versions only rise; one that starts then has only the store's. The positions of copies cannot tell: both are of the same era and version.

Entries tell each other the operators' version that is active with them, as a last member that earlier builds ignore. One that hears of a newer version than the table's copy gives it asks an entry that has it for the rows as they were in the store. When all VMs start for the first time there is nothing to confirm.

--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -87,6 +87,14 @@
     CONFIGURATION_UNUSABLE = EventKind(
         1605, logging.WARNING, "skipped an unusable configuration: {reason}"
     )
+    CONFIGURATION_PULLED = EventKind(
+        1606, logging.INFO, "configuration version {version} is active after a pull from {peer}"
+    )
+    CONFIGURATION_UNCONFIRMED = EventKind(
+        1607,
+        logging.WARNING,
+        "no other VM was heard that could have a newer configuration than version {version}",
+    )
     TABLE_LOST = EventKind(
         1701, logging.WARNING, "{table}: the platform does not respond: {reason}"
     )
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -21,10 +21,10 @@
 from cactusvane.fleet.departed import DepartedTargets
 from cactusvane.fleet.lapse import LapsedTargets
 from cactusvane.fleet.vm import Vm
+from cactusvane.following import exchange
 from cactusvane.following.decoder import TableDecoder, VersionedConfiguration
 from cactusvane.following.directory import EntryDirectory
 from cactusvane.following.exchange import (
-    ENTRIES_PATH,
     TABLES_PATH,
     EntryClient,
     encode_response,
@@ -32,6 +32,7 @@
 )
 from cactusvane.following.finder import EntryFinder
 from cactusvane.following.follower import FollowSettings, TableFollower
+from cactusvane.following.newest import NewestConfiguration
 from cactusvane.following.puller import TablePuller
 from cactusvane.following.readers import ReaderCandidate, is_reader
 from cactusvane.following.source import TableSource
@@ -129,8 +130,8 @@
 
     Attributes
     ----------
-    version
-        Version of the active configuration; 0 without any.
+    configuration_rows
+        Rows of the active configuration, as they were in the store.
     listed
         Targets of all services, with those that are retained during an outage of the store.
     stopping
@@ -195,11 +196,19 @@
         )
         self.puller = TablePuller(self.domain, self.followers, self.clock, self.random)
         self.departed = DepartedTargets(fleet.target_lapse_ms)
+        self.newest = NewestConfiguration(
+            self.domain,
+            self.entry_client.configuration,
+            self.offer_configuration,
+            self.clock,
+            self.random,
+            confirmed=fleet.follow.startup_spread_ms > 0.0,
+        )
         self.lapsed = LapsedTargets(fleet.max_retention_ms(settings.http.connect_ms))
         self.server = Server(settings.http, self.entry.handle)
         self.admin = Server(settings.http, self.handle_admin_request)
         self.peer_server = Server(settings.http, self.handle_peer_request)
-        self.version = 0
+        self.configuration_rows: dict[str, bytes] = {}
         self.listed: tuple[Vm, ...] = ()
         self.stopping = asyncio.Event()
         self.ended = False
@@ -235,10 +244,16 @@
     def ready(self) -> bool:
         """Whether callers should be sent to this VM.
 
-        A configuration is active, the targets are known, and the process is not stopping.
+        The newest configuration is active, the targets are known, and the process is not stopping.
         """
-        knows_targets = self.followers[TARGETS_TABLE].copy.loaded
-        return self.version > 0 and knows_targets and not self.stopping.is_set()
+        if self.version == 0 or self.stopping.is_set():
+            return False
+        return self.followers[TARGETS_TABLE].copy.loaded and self.newest.is_confirmed()
+
+    @property
+    def version(self) -> int:
+        """Version of the active configuration; 0 without any."""
+        return self.newest.version
 
     def store_status(self) -> StoreStatus:
         """Return how the platform's tables respond to this VM."""
@@ -264,6 +279,7 @@
                 for name, follower in self.followers.items()
                 if follower.copy.era
             },
+            configuration_version=self.version,
         )
 
     def should_read(self) -> bool:
@@ -316,15 +332,27 @@
 
     def configuration_changed(self, keys: tuple[str, ...]) -> None:
         """Activate the table's configuration if it is newer than the active one."""
-        rows = self.followers[CONFIGURATION_TABLE].copy.values()
+        self.offer_configuration(self.followers[CONFIGURATION_TABLE].copy.values())
+
+    def offer_configuration(self, rows: dict[str, bytes]) -> int:
+        """Activate a configuration if it is newer than the active one; return the active version.
+
+        Parameters
+        ----------
+        rows
+            Rows of the configuration, as they are in the store.
+        """
         found = self.platform.decoder.configuration(rows)
         if found is not None and found.version > self.version:
+            self.configuration_rows = rows
             self.activate(found)
         self.update_sender.schedule_update(urgent=True)
+        return self.version
 
     def activate(self, found: VersionedConfiguration) -> None:
         """Activate a configuration."""
-        self.version = self.entry.version = found.version
+        self.entry.version = found.version
+        self.newest.activated(found.version)
         self.entry.configure(found.configuration)
         self.server.limits = found.limits
         events.write(Event.CONFIGURATION_ADOPTED, version=found.version)
@@ -370,6 +398,8 @@
             for table in store_status.table_versions:
                 if self.puller.should_pull(table, store_status.position(table)):
                     self.start_task(self.puller.pull(table))
+            if not self.puller.pending and self.newest.should_pull(store_status):
+                self.start_task(self.newest.pull())
             if store_status.failure_age_ms is not None:
                 self.lapsed.record_failure(self.clock.now() - store_status.failure_age_ms)
         self.placer.wake()
@@ -381,6 +411,8 @@
             now = self.clock.now()
             self.entry.tick()
             self.track_outages(now)
+            self.newest.alone = self.finder.registered and not self.domain.peers
+            self.log_ready()
 
     def track_outages(self, now: float) -> None:
         """Record outages of the store, and drop targets that did not register again after one."""
@@ -431,14 +463,15 @@
                 raise bad_request("no-route", "the paths are /ready and /metrics", 404)
 
     async def handle_peer_request(self, request: Request, caller: Caller) -> Response:
-        """Handle a request from another entry: the list of entries, or a table."""
-        if request.path == ENTRIES_PATH:
-            return encode_response(self.finder.known_entries())
+        """Handle a request from another entry: a table, the entries or the configuration."""
+        match request.path:
+            case exchange.ENTRIES_PATH:
+                return encode_response(self.finder.known_entries())
+            case exchange.CONFIGURATION_PATH:
+                return encode_response(self.configuration_rows)
         follower = self.followers.get(request.path.removeprefix(TABLES_PATH))
         if follower is None:
-            raise bad_request(
-                "no-route", f"the paths are {ENTRIES_PATH} and {TABLES_PATH}NAME", 404
-            )
+            raise bad_request("no-route", f"entries do not serve {request.path}", 404)
         return encode_response(follower.copy.changes_since(requested_position(request)))
 
 
--- a/cactusvane/following/exchange.py
+++ b/cactusvane/following/exchange.py
@@ -14,6 +14,7 @@
 
 TABLES_PATH = "/tables/"
 ENTRIES_PATH = "/entries"
+CONFIGURATION_PATH = "/configuration"
 
 MAX_INTEGER_DIGITS = 18
 
@@ -89,6 +90,21 @@
         except msgspec.DecodeError as error:
             raise PlatformUnavailableError(f"{address}: cannot decode rows: {error}") from error
 
+    async def configuration(self, address: Address) -> dict[str, bytes]:
+        """Return the rows of the configuration that is active at another entry.
+
+        Raises
+        ------
+        CactusvaneError
+            The entry did not respond with rows.
+        """
+        body = await self.get(address, CONFIGURATION_PATH)
+        try:
+            return msgspec.msgpack.decode(body, type=dict[str, bytes])
+        except msgspec.DecodeError as error:
+            text = f"{address}: cannot decode the configuration: {error}"
+            raise PlatformUnavailableError(text) from error
+
     async def entries(self, address: Address) -> tuple[Vm, ...]:
         """Return the entries of the failure domain that another entry knows.
 
--- a/cactusvane/following/finder.py
+++ b/cactusvane/following/finder.py
@@ -38,6 +38,11 @@
         Announces this entry to another entry.
     clock
         Clock of the process.
+
+    Attributes
+    ----------
+    registered
+        Whether this VM and the others are in the directory, as far as it has responded.
     """
 
     def __init__(
@@ -57,6 +62,7 @@
         self.entry_client = entry_client
         self.followers = followers
         self.introduce = introduce
+        self.registered = False
 
     @property
     def own(self) -> Vm:
@@ -69,6 +75,7 @@
         while True:
             try:
                 self.add_entries(await self.directory.register(self.own))
+                self.registered = True
                 return
             except PlatformError as error:
                 events.write(Event.TABLE_LOST, table="entries", reason=str(error))
--- a/cactusvane/placement/messages.py
+++ b/cactusvane/placement/messages.py
@@ -152,6 +152,8 @@
         Version of the latest change of each table that the entry has.
     table_eras
         Era of the store that this version belongs to; without the tables of era 0.
+    configuration_version
+        Operators' version of the active configuration; 0 without any.
     """
 
     can_read: bool
@@ -159,6 +161,7 @@
     failure_age_ms: float | None
     table_versions: dict[str, int]
     table_eras: dict[str, int] = {}
+    configuration_version: int = 0
 
     def position(self, table: str) -> TablePosition:
         """Return the position of the latest change of a table that the entry has."""
--- a/tests/adapter/test_restore.py
+++ b/tests/adapter/test_restore.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from tests.adapter.restored import RestoredFleet, cut_off
+from tests.adapter.restored import WATCH_INTERVAL_S, RestoredFleet, cut_off
 
 CALLS_PER_S = 12.0
 DRAIN_S = 2.0
@@ -125,6 +125,7 @@
         await asyncio.sleep(0.5)
         await fleet.start_ready("estrie-late", "estrie")
         late = fleet.processes[-1]
+        await asyncio.sleep(2 * WATCH_INTERVAL_S)
         assert fleet.ready_versions[late.settings.vm, late.domain.started] == version
         fleet.write_again()
         assert await fleet.behind_in_time(fleet.publish()) == []
