Entries register again when a restore took their registration away

What callers could have seen: an entry that starts after a restore finds none of the others in the platform's directory, and serves without their loads and evidence and without the configuration that they have.

Cause: an entry registers once, at its start. The operators and the targets write again what a restore took away; nobody does that for what this product has written itself.

After a restore each entry looks, at a random moment, whether it is still in the directory, and writes its row only where it is missing; all entries of a fleet together look 100 times a second at most. Two restores beside an entry that starts between them, one that is cut off during both and one that starts after them, with a tenth of the datagrams lost, are a test, too.

Looked for elsewhere: no other write to the platform's store. The claims, the head of the configuration and the burn report of cactusvaned rest on its own platform interface, which promises that an acknowledged write lasts.

--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -185,6 +185,7 @@
             ),
             TARGETS_TABLE: self.make_follower(TARGETS_TABLE, self.targets_changed),
         }
+        self.followers[TARGETS_TABLE].on_restore = self.store_restored
         self.finder = EntryFinder(
             settings,
             platform.directory,
@@ -364,6 +365,10 @@
         self.update_sender.schedule_update(urgent=True)
         self.log_ready()
 
+    def store_restored(self) -> None:
+        """Check whether what this VM wrote to the store is still there."""
+        self.start_task(self.finder.renew())
+
     def refresh_targets(self) -> None:
         """Pass all targets to the entry, with those that lapsed in an outage.
 
--- a/cactusvane/following/directory.py
+++ b/cactusvane/following/directory.py
@@ -26,3 +26,17 @@
         PlatformError
             The platform did not respond; the entry may be registered nevertheless.
         """
+
+    async def renew(self, own: Vm) -> tuple[Vm, ...]:
+        """Register an entry again if its registration is lost; return all registered entries.
+
+        Parameters
+        ----------
+        own
+            The entry.
+
+        Raises
+        ------
+        PlatformError
+            The platform did not respond; the entry may be registered nevertheless.
+        """
--- a/cactusvane/following/finder.py
+++ b/cactusvane/following/finder.py
@@ -1,7 +1,7 @@
 """Discovery of the other entries of a failure domain."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from cactusvane import events
 from cactusvane.clock import MS_PER_SECOND, Clock
@@ -15,6 +15,9 @@
 from cactusvane.placement.domain import Domain
 from cactusvane.settings import Settings
 
+RENEWALS_PER_S = 100.0
+"""Maximum rate at which all entries of the fleet look whether they are still registered."""
+
 RETRY_DELAY_MS = 500.0
 """Delay before the platform's directory, or the seeds, are queried again."""
 
@@ -72,10 +75,21 @@
 
     async def register(self) -> None:
         """Register this VM in the directory, retry until it succeeds, and add the others."""
+        await self.retry(self.directory.register)
+        self.registered = True
+
+    async def renew(self) -> None:
+        """Register again if the registration was lost with a restore of the platform's store."""
+        fleet_size = (len(self.domain.peers) + 1) * self.domain.limit.domains
+        spread_ms = MS_PER_SECOND * fleet_size / RENEWALS_PER_S
+        await asyncio.sleep(self.domain.random.random() * spread_ms / MS_PER_SECOND)
+        await self.retry(self.directory.renew)
+
+    async def retry(self, call: Callable[[Vm], Awaitable[tuple[Vm, ...]]]) -> None:
+        """Call the directory until it responds, and add the entries that it returns."""
         while True:
             try:
-                self.add_entries(await self.directory.register(self.own))
-                self.registered = True
+                self.add_entries(await call(self.own))
                 return
             except PlatformError as error:
                 events.write(Event.TABLE_LOST, table="entries", reason=str(error))
--- a/cactusvane/following/follower.py
+++ b/cactusvane/following/follower.py
@@ -80,6 +80,8 @@
         Copy of the table.
     on_change
         Called with the keys of the changed rows, after the copy was changed.
+    on_restore
+        Called when the platform came back from an older copy, after the copy was changed.
     on_response
         Called when the platform responded.
     should_read
@@ -117,6 +119,7 @@
         self.random = random
         self.copy = TableCopy()
         self.on_change: Callable[[tuple[str, ...]], None] = lambda keys: None
+        self.on_restore: Callable[[], None] = lambda: None
         self.on_response: Callable[[], None] = lambda: None
         self.should_read: Callable[[], bool] = lambda: True
         self.failing = False
@@ -250,7 +253,8 @@
             return
         first, era, version = not copy.loaded, copy.era, copy.version
         changed = copy.apply(read)
-        if copy.era > era and not first:
+        restored = copy.era > era and not first
+        if restored:
             events.write(
                 Event.STORE_RESTORED,
                 table=self.table,
@@ -269,6 +273,8 @@
                 source=source,
             )
             self.on_change(changed)
+        if restored:
+            self.on_restore()
 
     async def catch_up(self, address: Address, position: TablePosition) -> None:
         """Pull the changes up to `position` from the VM at `address`, unless they are known."""
--- a/tests/adapter/test_restore.py
+++ b/tests/adapter/test_restore.py
@@ -144,3 +144,34 @@
                 await asyncio.sleep(0.1)
 
     run_scenario(scenario)
+
+
+def test_no_entry_goes_back_in_two_restores_beside_starts_cuts_and_lost_datagrams() -> None:
+    """Each second restore takes away more than was written after the first one."""
+
+    async def scenario(fleet: RestoredFleet) -> None:
+        await publish_many(fleet)
+        fleet.lose_datagrams(0.1)
+        cut = fleet.processes[1]
+        sources = [(each, each.source) for each in cut.followers.values()]
+        cut_off(cut)
+        await restore(fleet, LOST_WRITES)
+        started = asyncio.ensure_future(fleet.start_ready("monteregie-late", "monteregie"))
+        await asyncio.sleep(0.3)
+        fleet.write_again()
+        newest = fleet.publish()
+        await asyncio.sleep(0.1)
+        await restore(fleet, LOST_WRITES)
+        for follower, source in sources:
+            follower.source = source
+        await started
+        await asyncio.sleep(0.3)
+        await fleet.start_ready("estrie-late", "estrie")
+        fleet.write_again()
+        assert await fleet.behind_in_time(newest) == []
+        assert await fleet.behind_in_time(fleet.publish()) == []
+        await fleet.call_for(1.0, CALLS_PER_S)
+        await asyncio.gather(*fleet.calls)
+        assert fleet.unserved == 0
+
+    assert run_scenario(scenario).regressions() == []
