Log which request was at a target that closed without a response

Whether one request ends target after target could not be seen: lines name the id of an attempt, which is another one each time. Line 1810 has a fingerprint of what the users' pages say stays the same: method, target, host, caller and body.

--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
-from functools import partial
+from functools import cached_property, partial
 from typing import TYPE_CHECKING, Protocol
 
 from cactusvane import events
@@ -35,6 +35,7 @@
     ReturnResponse,
     SendAttempt,
 )
+from cactusvane.request.fingerprint import fingerprint
 from cactusvane.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -263,6 +264,15 @@
             why=place.reason if place else None,
             rested_ms=self.idle_ms,
         )
+        if isinstance(result, AttemptFailed) and result.without_response:
+            events.write(
+                Event.TARGET_CLOSED_EARLY,
+                request=self.request_id,
+                target=self.last_attempt.target,
+                fingerprint=self.fingerprint.hex(),
+                number=len(self.tried),
+                after_ms=self.last_attempt.latency_ms,
+            )
         if outcome is not Outcome.SERVED:
             events.write(
                 Event.REQUEST_ATTEMPTED,
@@ -276,6 +286,11 @@
                 configuration=self.entry.version,
             )
 
+    @cached_property
+    def fingerprint(self) -> bytes:
+        """Identity of the request if it comes again under another id."""
+        return fingerprint(self.request)
+
     @property
     def streams(self) -> bool:
         """Whether the rest of the response is still to be streamed."""
@@ -404,9 +419,10 @@
         A pooled connection that broke before the first byte of the response counts as stale, since
         the target may have closed it while it was idle.
         """
-        stale = connection.idle_ms > 0.0 and not connection.received_any
+        without_response = not connection.received_any
+        stale = connection.idle_ms > 0.0 and without_response
         outcome = Outcome.STALE if stale else Outcome.BROKEN
-        return AttemptFailed(outcome, error.verdict, f"{address}: {error}")
+        return AttemptFailed(outcome, error.verdict, f"{address}: {error}", without_response)
 
     @contextmanager
     def early_timeout(self, command: SendAttempt, timeout: asyncio.Timeout) -> Iterator[None]:
--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -151,6 +151,11 @@
         logging.INFO,
         "{service}: ignored the restored row of {target} as {state}; it is known as {known}",
     )
+    TARGET_CLOSED_EARLY = EventKind(
+        1810,
+        logging.INFO,
+        "{request}: {target} took the request and closed the connection without a response",
+    )
     REQUEST_ATTEMPTED = EventKind(1804, logging.INFO, "{request}: {target}: {outcome}")
     REQUEST_ENDED = EventKind(1805, logging.INFO, "{request}: {status}, {verdict}")
     LINES_DROPPED = EventKind(1901, logging.WARNING, "{lines} log lines were dropped")
--- a/cactusvane/request/attempts.py
+++ b/cactusvane/request/attempts.py
@@ -52,11 +52,15 @@
         Whether the request may have run.
     text
         Error message for the caller; empty for the default.
+    without_response
+        Whether the target took the request and closed the connection before the first byte of a
+        response; it may have crashed.
     """
 
     outcome: Outcome
     verdict: Verdict
     text: str = ""
+    without_response: bool = False
 
 
 @dataclass(frozen=True, slots=True)
