A request that ends target after target is isolated by the whole fleet

Cause: evidence of a closed connection was kept by target alone. The request was new each time it came, under another id and at another entry, and its retry took a second target. The class is evidence that is kept by one of the two parties to a failure.

Entries remember requests by a fingerprint of method, target, host, caller and body, and under which targets they ended without a byte of a response. After two targets a request gets no retry, after three it is rejected at once: 503, not run, with Retry-After. A request that completes anywhere is free for a minute; several targets that close at one moment point at this VM's own path. Evidence travels in the state updates of a group, and in notices to two entries of each other group, sent three times, and again while the request comes back; full updates repeat what is isolated, for entries that start later. The records are bounded and forgotten after 10 min.

Ruled out: telling crashes from resets by what a target serves afterwards; it may start again under its name.

--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -226,9 +226,13 @@
 
     async def attempt(self, command: SendAttempt) -> AttemptResult:
         """Make one attempt and report its result to admission control."""
+        if self.may_crash_targets():
+            return self.crash_rejection()
         address = await self.choose_target()
         if address is None:
             return self.rejection_result()
+        if self.may_crash_targets():
+            return self.crash_rejection()
         if self.caller.gone:
             return NoTarget("caller-gone")
         self.tried |= {address}
@@ -243,7 +247,8 @@
         finally:
             latency_ms = self.clock.now() - started
             self.time_at_targets_ms += latency_ms
-            self.log_attempt(address, outcome, result, latency_ms)
+            target = self.log_attempt(address, outcome, result, latency_ms)
+            self.record_crash_evidence(result, target)
             if outcome is Outcome.SERVED and not self.streams:
                 self.end_attempt_soon(address, latency_ms)
             elif not self.streams:
@@ -252,8 +257,14 @@
 
     def log_attempt(
         self, address: Address, outcome: Outcome, result: AttemptResult | None, latency_ms: float
-    ) -> None:
-        """Keep the attempt for the request's log line; a failed one also gets its own line."""
+    ) -> str:
+        """Keep the attempt for the request's log line; a failed one also gets its own line.
+
+        Returns
+        -------
+        str
+            Name of the target.
+        """
         place = self.ticket.place if self.ticket else None
         self.last_attempt = AttemptLog(
             target=place.name if place else str(address),
@@ -285,6 +296,7 @@
                 retries_left=round(self.attempts.budget.remaining(self.clock.now()), 2),
                 configuration=self.entry.version,
             )
+        return self.last_attempt.target
 
     @cached_property
     def fingerprint(self) -> bytes:
@@ -329,6 +341,28 @@
         self.waited_ms += self.clock.now() - since
         return address
 
+    def may_crash_targets(self) -> bool:
+        """Return whether the request has ended so many targets that it gets no other one."""
+        crashes = self.entry.crashes
+        if not crashes.suspects:
+            return False
+        return crashes.rejects(self.fingerprint, self.clock.now(), retry=bool(self.tried))
+
+    def crash_rejection(self) -> NoTarget:
+        """Return the result for a request that may crash targets, and withdraw the ticket."""
+        self.withdraw()
+        retry_after_ms = self.entry.crashes.record_rejection(self.fingerprint, self.clock.now())
+        return NoTarget("crashes-targets", retry_after_ms)
+
+    def record_crash_evidence(self, result: AttemptResult | None, target: str) -> None:
+        """Record that a target closed without a response, or that it ran the request."""
+        crashes, now = self.entry.crashes, self.clock.now()
+        match result:
+            case AttemptFailed(without_response=True):
+                crashes.record_crash(self.fingerprint, target, now)
+            case ResponseReceived() if crashes.suspects:
+                crashes.record_completion(self.fingerprint, now)
+
     def rejection_result(self) -> NoTarget:
         """Return why there is no target, and withdraw the ticket."""
         rejection = self.ticket.rejection if self.ticket else None
--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -23,6 +23,7 @@
 from cactusvane.report.ledger import Ledger
 from cactusvane.request.admission import Placer
 from cactusvane.request.budget import RetryLimiter
+from cactusvane.request.crashes import CrashRecord
 from cactusvane.settings import Settings
 from cactusvane.verdict import Verdict
 
@@ -61,6 +62,8 @@
     ----------
     idle_connections
         Idle connections to targets.
+    crashes
+        Requests that may crash targets.
     stopping
         Whether the process is stopping and finishes requests in flight.
     """
@@ -83,6 +86,7 @@
         self.header_names = header_names
         self.connections = connections
         self.idle_connections = IdleConnections(clock)
+        self.crashes = CrashRecord()
         self.keyed_handler: KeyedHandler | None = None
         self.ledger = Ledger(settings.vm)
         self.configured = False
--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -156,6 +156,15 @@
         logging.INFO,
         "{request}: {target} took the request and closed the connection without a response",
     )
+    REQUEST_SUSPECTED = EventKind(
+        1811,
+        logging.WARNING,
+        "request {fingerprint} may have crashed {targets} targets, after {before}; "
+        "rejected: {rejected}",
+    )
+    REQUEST_FORGOTTEN = EventKind(
+        1812, logging.INFO, "request {fingerprint} that had crashed targets is no longer rejected"
+    )
     REQUEST_ATTEMPTED = EventKind(1804, logging.INFO, "{request}: {target}: {outcome}")
     REQUEST_ENDED = EventKind(1805, logging.INFO, "{request}: {status}, {verdict}")
     LINES_DROPPED = EventKind(1901, logging.WARNING, "{lines} log lines were dropped")
--- a/cactusvane/exposition.py
+++ b/cactusvane/exposition.py
@@ -68,7 +68,12 @@
         for outcome, count in record.attempts.items():
             attempts.add_metric((*key, outcome.value), count)
     counters = [requests, statuses, attempts, refused, ejections]
-    return [*counters, target_counts(recorder), *summaries(recorder)]
+    isolated = GaugeMetricFamily(
+        "cactusvane_isolated_requests",
+        "Requests that may have crashed targets and get no retry, or are rejected",
+        value=recorder.isolated_requests,
+    )
+    return [*counters, target_counts(recorder), isolated, *summaries(recorder)]
 
 
 def target_counts(recorder: Recorder) -> GaugeMetricFamily:
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -33,6 +33,7 @@
 from cactusvane.following.finder import EntryFinder
 from cactusvane.following.follower import FollowSettings, TableFollower
 from cactusvane.following.newest import NewestConfiguration
+from cactusvane.following.notifier import CrashNotifier
 from cactusvane.following.puller import TablePuller
 from cactusvane.following.readers import ReaderCandidate, is_reader
 from cactusvane.following.source import TableSource
@@ -94,6 +95,8 @@
         How requests are placed, and which share of a service's targets must stay in use.
     target_drain_ms
         Time from the notice that a target is leaving until it may get no more requests.
+    failure_domains
+        Names of all failure domains.
     target_lapse_ms
         Time after which the store drops the row of a silent target.
     """
@@ -103,6 +106,7 @@
     placement: PlacementSettings
     target_drain_ms: float = 2_000.0
     target_lapse_ms: float = 4_500.0
+    failure_domains: tuple[str, ...] = ()
 
     def max_retention_ms(self, connect_ms: float) -> float:
         """Return how long a target that may have left is retained.
@@ -177,6 +181,7 @@
             FreshConnections(settings.http, self.clock, default_max_spares=0),
             platform.header_names,
         )
+        self.entry.crashes = self.domain.crashes
         self.domain.idle_ms = self.entry.idle_connections.idle_ms
         self.entry_client = EntryClient(settings.http)
         self.followers = {
@@ -195,6 +200,15 @@
             self.update_sender.introduce,
             self.clock,
         )
+        self.crash_notifier = CrashNotifier(
+            settings,
+            fleet.failure_domains,
+            platform.directory,
+            self.domain.crashes,
+            self.update_sender.send,
+            self.clock,
+            self.random,
+        )
         self.puller = TablePuller(self.domain, self.followers, self.clock, self.random)
         self.departed = DepartedTargets(fleet.target_lapse_ms)
         self.newest = NewestConfiguration(
@@ -418,6 +432,8 @@
             self.track_outages(now)
             self.newest.alone = self.finder.registered and not self.domain.peers
             self.log_ready()
+            if due := self.crash_notifier.due():
+                self.start_task(self.crash_notifier.tell(due))
 
     def track_outages(self, now: float) -> None:
         """Record outages of the store, and drop targets that did not register again after one."""
@@ -462,7 +478,9 @@
             case "GET", "/ready":
                 return ready_response(self.ready)
             case "GET", "/metrics":
-                self.recorder.targets = self.domain.count_targets(self.clock.now())
+                now = self.clock.now()
+                self.recorder.targets = self.domain.count_targets(now)
+                self.recorder.isolated_requests = len(self.domain.crashes.isolated(now))
                 return metrics_response(self.recorder)
             case _:
                 raise bad_request("no-route", "the paths are /ready and /metrics", 404)
--- a/cactusvane/following/directory.py
+++ b/cactusvane/following/directory.py
@@ -27,6 +27,15 @@
             The platform did not respond; the entry may be registered nevertheless.
         """
 
+    async def registered(self, failure_domain: str) -> tuple[Vm, ...]:
+        """Return the entries that are registered in a failure domain.
+
+        Raises
+        ------
+        PlatformError
+            The platform did not respond.
+        """
+
     async def renew(self, own: Vm) -> tuple[Vm, ...]:
         """Register an entry again if its registration is lost; return all registered entries.
 
--- a/cactusvane/metrics.py
+++ b/cactusvane/metrics.py
@@ -114,6 +114,7 @@
         self.refused: dict[str, int] = {}
         self.ejections: dict[str, int] = {}
         self.targets: dict[str, TargetCounts] = {}
+        self.isolated_requests = 0
 
     def kind(self, service: str, kind: str) -> KindRecord:
         """Return the metrics of one kind of requests of one service; create them if needed."""
--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -21,6 +21,7 @@
 from cactusvane.placement.rate_limits import RateLimits
 from cactusvane.placement.retries import RetryLimit, SharedRetries
 from cactusvane.placement.settings import PlacementSettings
+from cactusvane.request.crashes import CrashRecord
 
 PEER_EXPIRY_MS = 30_000.0
 """An entry of the same group without an update for this long is sent no more updates."""
@@ -71,6 +72,7 @@
         self.settings = settings or PlacementSettings()
         self.limit = limit
         self.rate_limits = RateLimits(vm, self.live_group, random)
+        self.crashes = CrashRecord()
         self.placements: dict[str, Placement] = {}
         self.retries: dict[str, SharedRetries] = {}
         self.placement_by_target: dict[str, Placement] = {}
@@ -201,6 +203,7 @@
         self.record_use(update, last, now)
         self.record_retry_usage(update, now)
         self.rate_limits.receive(update.rate_limits or {}, update.sender, now)
+        self.crashes.receive(update.crash_reports, now, pass_on=False)
         if last is not None and last.started != update.started:
             peer.known_observations = 0
         self.record_observations(peer, update, now)
@@ -222,6 +225,7 @@
         for retries in self.retries.values():
             retries.expire(now)
         self.rate_limits.expire(now)
+        self.crashes.expire(now)
         group = self.group()
         for vm, peer in tuple(self.peers.items()):
             if now - peer.last_seen_at <= PEER_TIMEOUT_MS:
@@ -295,4 +299,5 @@
             outbox.usage_to_send(self.retries, now),
             self.strength,
             self.rate_limits.reports(status is not None, now),
+            self.crashes.take_news(status is not None, self.random, now),
         )
--- a/cactusvane/placement/messages.py
+++ b/cactusvane/placement/messages.py
@@ -13,6 +13,7 @@
 from cactusvane.following.table import TablePosition
 from cactusvane.outcome import Outcome
 from cactusvane.placement.retries import RetryUsage
+from cactusvane.request.crashes import CrashReport
 
 
 @dataclass(frozen=True, slots=True)
@@ -210,6 +211,9 @@
     rate_limits
         Rate limits of targets, by name, as far as the entry knows them from responses of its own;
         None if those last sent still hold.
+    crash_reports
+        What the entry knows of requests that may crash targets, as far as it is new; a full update
+        repeats some of it.
     """
 
     sender: str
@@ -222,6 +226,7 @@
     retry_usage: dict[str, RetryUsage] | None = None
     strength: int = 0
     rate_limits: dict[str, RateLimitReport] | None = None
+    crash_reports: tuple[CrashReport, ...] = ()
 
     @property
     def is_full(self) -> bool:
@@ -262,5 +267,20 @@
     forward_to: tuple[Address, ...] = ()
 
 
-Message = StateUpdate | UpdateBatch
+class CrashNotice(msgspec.Struct, frozen=True, array_like=True, tag="c"):
+    """What an entry of another group knows of requests that may crash targets.
+
+    Parameters
+    ----------
+    sender
+        VM of the entry.
+    reports
+        What it knows.
+    """
+
+    sender: str
+    reports: tuple[CrashReport, ...]
+
+
+Message = StateUpdate | UpdateBatch | CrashNotice
 """A datagram between entries; a `StateUpdate` alone asks its receiver to relay it."""
--- a/cactusvane/placement/relaying.py
+++ b/cactusvane/placement/relaying.py
@@ -26,6 +26,7 @@
 from cactusvane.fleet.vm import Address
 from cactusvane.placement.domain import Domain
 from cactusvane.placement.messages import (
+    CrashNotice,
     Message,
     RelayedUpdate,
     StateUpdate,
@@ -33,6 +34,7 @@
     UpdateBatch,
 )
 from cactusvane.placement.peer import Peer
+from cactusvane.request.crashes import MAX_CRASH_REPORTS
 
 HEARTBEAT_MS = 1_000.0
 """Maximum time between two updates of an entry, also without traffic."""
@@ -67,6 +69,9 @@
 MAX_BATCH_ITEMS = 400
 """Maximum number of items in a batch; at 100 bytes each, it fits in a datagram."""
 
+ITEMS_PER_REPORT = 2
+"""Items as which a report about one request counts."""
+
 FAN_OUT = 8
 """Entries per forwarder: the relay sends batches to some entries, which forward them."""
 
@@ -355,6 +360,10 @@
     def receive(self, message: Message, address: Address, now: float) -> list[RelayedUpdate]:
         """Process a message and return the updates in it that are new."""
         match message:
+            case CrashNotice():
+                self.domain.crashes.receive(message.reports, now, pass_on=True)
+                self.schedule_update(True, now)
+                return []
             case StateUpdate():
                 self.client_seen_at[message.sender] = now
                 self.domain.add_peer(message.sender, address, now)
@@ -428,7 +437,8 @@
     4
     """
     parts = (update.in_flight, update.observations, update.retry_usage, update.rate_limits)
-    return 2 + sum(len(part) for part in parts if part)
+    reports = ITEMS_PER_REPORT * len(update.crash_reports)
+    return 2 + reports + sum(len(part) for part in parts if part)
 
 
 def relayed(update: StateUpdate, address: Address) -> RelayedUpdate:
@@ -447,4 +457,5 @@
         retry_usage=earlier.retry_usage if later.retry_usage is None else later.retry_usage,
         store_status=earlier.store_status if later.store_status is None else later.store_status,
         rate_limits=earlier.rate_limits if later.rate_limits is None else later.rate_limits,
+        crash_reports=(earlier.crash_reports + later.crash_reports)[-MAX_CRASH_REPORTS:],
     )
--- a/cactusvane/placement/sender.py
+++ b/cactusvane/placement/sender.py
@@ -1,7 +1,7 @@
 """I/O around `Relaying`: datagrams and one timer."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from math import inf
 
 from cactusvane import events
@@ -66,6 +66,10 @@
         self.relaying.introduce(address)
         self.schedule_update(True)
 
+    def send(self, message: Message, to: Iterable[Address]) -> None:
+        """Send a message to the entries at some addresses."""
+        self.endpoint.send(message, to)
+
     def receive(self, message: Message, address: Address) -> None:
         """Process a message."""
         updates = self.relaying.receive(message, address, self.clock.now())
--- a/tests/adapter/limited.py
+++ b/tests/adapter/limited.py
@@ -125,7 +125,9 @@
         super().__init__()
         limit = RetryLimit(extra=60.0, domains=len(zones))
         follow = replace(FOLLOW, max_staleness_ms=2_000)
-        self.fleet_limits = FleetLimits(limit, follow, PlacementSettings())
+        self.fleet_limits = FleetLimits(
+            limit, follow, PlacementSettings(), failure_domains=tuple(zones)
+        )
         self.start_seconds = START_SECONDS
         self.random = Random(seed)
         self.zones = zones
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -41,6 +41,7 @@
     recorder = Recorder()
     recorder.targets = {"records": placement.count_targets(2_500.0)}
     text = recorder.text().decode()
+    assert "cactusvane_isolated_requests 0.0" in text
     assert 'cactusvane_targets{service="records",state="usable"} 3.0' in text
     assert 'cactusvane_targets{service="records",state="unused"} 2.0' in text
     assert 'cactusvane_targets{service="records",state="limited"} 1.0' in text
