Odd rows of another writer name no target, and the other rows hold

What callers would have seen: after one odd row among those of the targets, entries that never followed the list or the configuration again, or requests sent to addresses that are none; an entry that started later never became ready.

Cause: what decoders raise for deeply nested or too large input is not among the errors that were caught, so the exception ended the task that follows the table (RecursionError, ValueError of a port of 5,000 digits). Values were checked for their type alone: port 0 and 99999, slots below 1 or 2^62, a warm-up of 1e308 ms, a host or a key with a line feed. A configuration whose version has thousands of digits became active, and nothing newer ever.

All bytes from others are decoded in one place now, with one exception for all that can be wrong; members are bounded by their types, addresses also in registrations of entries and in datagrams.

Looked for elsewhere: odd datagrams did not stop the updates before (five tests hold that); the other tables are those of cactusvaned, whose writers are its own commands.

--- a/cactusvane/fleet/vm.py
+++ b/cactusvane/fleet/vm.py
@@ -2,6 +2,14 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Annotated
+
+from msgspec import Meta
+
+Host = Annotated[str, Meta(pattern=r"^[0-9A-Fa-f:.]{2,45}\Z")]
+"""An IP address as text; host names are not resolved."""
+
+Port = Annotated[int, Meta(ge=1, le=65_535)]
 
 
 class VmState(Enum):
@@ -13,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class Address:
-    """Address at which a process listens.
+    """Address at which a process listens; checked when it is decoded from a message.
 
     Examples
     --------
@@ -21,8 +29,8 @@
     '127.0.0.1:8080'
     """
 
-    host: str
-    port: int
+    host: Host
+    port: Port
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
--- a/cactusvane/following/exchange.py
+++ b/cactusvane/following/exchange.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cactusvane.decoding import decode_msgpack
 from cactusvane.errors import PlatformUnavailableError
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.following.table import TablePosition, TableRows
@@ -12,6 +13,10 @@
 from cactusvane.http.message import Request, Response
 from cactusvane.settings import HttpLimits
 
+TABLE_DECODER: msgspec.msgpack.Decoder[TableRows] = msgspec.msgpack.Decoder(TableRows)
+ROWS_DECODER: msgspec.msgpack.Decoder[dict[str, bytes]] = msgspec.msgpack.Decoder(dict[str, bytes])
+ENTRIES_DECODER: msgspec.msgpack.Decoder[tuple[Vm, ...]] = msgspec.msgpack.Decoder(tuple[Vm, ...])
+
 TABLES_PATH = "/tables/"
 ENTRIES_PATH = "/entries"
 CONFIGURATION_PATH = "/configuration"
@@ -86,7 +91,7 @@
         query = f"after={after.version}&era={after.era}"
         body = await self.get(address, f"{TABLES_PATH}{table}?{query}")
         try:
-            return msgspec.msgpack.decode(body, type=TableRows)
+            return decode_msgpack(body, TABLE_DECODER)
         except msgspec.DecodeError as error:
             raise PlatformUnavailableError(f"{address}: cannot decode rows: {error}") from error
 
@@ -100,7 +105,7 @@
         """
         body = await self.get(address, CONFIGURATION_PATH)
         try:
-            return msgspec.msgpack.decode(body, type=dict[str, bytes])
+            return decode_msgpack(body, ROWS_DECODER)
         except msgspec.DecodeError as error:
             text = f"{address}: cannot decode the configuration: {error}"
             raise PlatformUnavailableError(text) from error
@@ -115,7 +120,7 @@
         """
         body = await self.get(address, ENTRIES_PATH)
         try:
-            return msgspec.msgpack.decode(body, type=tuple[Vm, ...])
+            return decode_msgpack(body, ENTRIES_DECODER)
         except msgspec.DecodeError as error:
             raise PlatformUnavailableError(f"{address}: cannot decode entries: {error}") from error
 
--- a/cactusvane/placement/endpoint.py
+++ b/cactusvane/placement/endpoint.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from cactusvane import events
+from cactusvane.decoding import decode_msgpack
 from cactusvane.events import Event
 from cactusvane.fleet.vm import Address
 from cactusvane.placement.messages import Message
@@ -43,7 +44,7 @@
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
         """Decode a message; one that cannot be decoded is ignored and logged."""
         try:
-            message = DECODER.decode(data)
+            message = decode_msgpack(data, DECODER)
         except msgspec.DecodeError as error:
             events.write(Event.NOTICE_UNUSABLE, reason=f"{addr[0]}: {error}")
             return
