A refusal that a target repeats on a kept connection is not taken for another request's

What callers would have seen: 'not run, try again' for a booking that a target was running, and the same booking run twice where it was tried again.

Cause: an idle connection remembered the id of its last request only, so a refusal of the one before fitted a retry under its old id; a connection that was reused within one tick of the clock counted as new, where a response without an id is taken; and a request without an id could reuse a connection at all. The class is an absence of evidence (no id, no time passed) that is taken for evidence.

A connection now remembers all ids that it has carried, and is closed after 256 exchanges.

--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -454,7 +454,7 @@
         the target may have closed it while it was idle.
         """
         without_response = not connection.received_any
-        stale = connection.idle_ms > 0.0 and without_response
+        stale = connection.reused and without_response
         outcome = Outcome.STALE if stale else Outcome.BROKEN
         return AttemptFailed(outcome, error.verdict, f"{address}: {error}", without_response)
 
@@ -505,7 +505,7 @@
         names = self.header_names
         if names.request_id:
             echoed = response.header(names.request_id)
-            unnamed = echoed is None and connection.idle_ms == 0.0
+            unnamed = echoed is None and not connection.reused
             if not unnamed and echoed != self.raw_request_id:
                 raise BrokenResponseError("the response belongs to another request")
         if names.signature and response.status < FIRST_ERROR_STATUS:
--- a/cactusvane/http/client.py
+++ b/cactusvane/http/client.py
@@ -39,6 +39,9 @@
     idle_ms
         Time the connection was idle before the current exchange, in milliseconds; 0 for a new
         connection.
+    request_ids
+        Ids of the requests that the connection has carried; a late copy of a response on it may
+        have any of them.
     received_any
         Whether any byte was received in the current exchange.
     """
@@ -52,6 +55,7 @@
         self.reading = False
         self.keep_alive = False
         self.idle_ms = 0.0
+        self.request_ids: set[bytes] = set()
         self.received_any = False
         self.unsent = b""
         self.response_future: asyncio.Future[Response] | None = None
@@ -76,6 +80,11 @@
         self.close()
         return False
 
+    @property
+    def reused(self) -> bool:
+        """Whether the connection has carried an exchange before the current one."""
+        return bool(self.request_ids)
+
     async def exchange(self, request: Request, keep_alive: bool = False) -> Response:
         """Send `request` and return the response.
 
--- a/cactusvane/http/idle.py
+++ b/cactusvane/http/idle.py
@@ -2,9 +2,8 @@
 
 HTTP/1.1 responses do not identify their request. Therefore a connection is pooled only if its last
 response was complete, had a ``Content-Length`` and belonged to this entry's request. A connection
-on which anything arrives while it is idle is closed. It never carries a request with the same
-request id as the previous one, since a late copy of the previous response would be taken for the
-response to it.
+on which anything arrives while it is idle is closed. It carries no request without an id, and no
+request id twice, since a late copy of an earlier response would be taken for the response to it.
 """
 
 from collections import deque
@@ -21,6 +20,9 @@
 DEFAULT_IDLE_MS = 5_000.0
 """Idle timeout in milliseconds for a target that does not announce one."""
 
+MAX_EXCHANGES = 256
+"""Exchanges after which a connection is closed; the ids of all of them are remembered."""
+
 KEEP_ALIVE_MARGIN_MS = 1_000.0
 """Margin in milliseconds subtracted from a target's announced idle timeout.
 
@@ -39,14 +41,11 @@
     idle_since, expires_at
         When it became idle and when it is to be closed, in milliseconds (monotonic clock of the
         process).
-    request_id
-        Id of its last request.
     """
 
     connection: ClientConnection
     idle_since: float
     expires_at: float
-    request_id: bytes | None
 
 
 def keep_alive_ms(response: Response) -> float:
@@ -91,7 +90,7 @@
         target: Address,
         connection: ClientConnection,
         response: Response,
-        request_id: bytes | None,
+        request_id: bytes,
     ) -> None:
         """Add a connection to the pool, or close it if it cannot be reused.
 
@@ -107,12 +106,14 @@
             Id of that request.
         """
         idle_ms = keep_alive_ms(response)
-        if idle_ms <= 0.0 or not connection.open:
+        connection.request_ids.add(request_id)
+        worn_out = len(connection.request_ids) >= MAX_EXCHANGES
+        if idle_ms <= 0.0 or worn_out or not connection.open:
             connection.close()
             return
         now = self.clock.now()
         idle = self.by_target.setdefault(target, deque())
-        idle.append(IdleConnection(connection, now, now + idle_ms, request_id))
+        idle.append(IdleConnection(connection, now, now + idle_ms))
         if len(idle) > MAX_IDLE_PER_TARGET:
             idle.popleft().connection.close()
 
@@ -135,13 +136,16 @@
         max_idle_ms
             Maximum time that the connection may have been idle, in milliseconds.
         request_id
-            Id of the next request.
+            Id of the next request; without one its response could not be told from a late one.
         """
+        if request_id is None:
+            return None
         now = self.clock.now()
         idle = self.by_target.get(target)
         while idle:
             newest = idle[-1]
-            if now - newest.idle_since > max_idle_ms or newest.request_id == request_id:
+            carried = request_id in newest.connection.request_ids
+            if carried or now - newest.idle_since > max_idle_ms:
                 return None
             idle.pop()
             if now < newest.expires_at and newest.connection.open:
