A response whose head stops within a line is no response

What callers could have seen: a 200 with an empty body where a target had stopped in the middle of its response's head and closed.

Cause: h11 takes a bare line feed for the end of a line, and two for the end of a head. A head that stopped so, without its length, ended with its connection like a response without a length, and was passed on as whole and empty. The class is a parser that is more lenient than the proof of completeness that is built on it.

Every prefix of responses with a length, chunked, with trailers and after interim responses was tried, for GET, POST and HEAD, buffered and streamed: none counted as complete before either. Lines of a response's head must end with a carriage return now.

--- a/cactusvane/http/check.py
+++ b/cactusvane/http/check.py
@@ -24,6 +24,7 @@
 
 HEAD_END = b"\r\n\r\n"
 FOLDED_LINE = re.compile(rb"\n[ \t]")
+BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
 """A folded header line; RFC 9112 (5.2) allows servers to reject it."""
 
 LINE_OVERHEAD_BYTES = 4
@@ -47,6 +48,24 @@
         raise bad_request("folded-line", "a header line is folded")
 
 
+def has_bare_line_feed(data: bytes) -> bool:
+    r"""Return whether a line of a head ends without a carriage return, which h11 would accept.
+
+    Parameters
+    ----------
+    data
+        The bytes of a message received so far, starting with its head.
+
+    Examples
+    --------
+    >>> has_bare_line_feed(b"HTTP/1.1 200 OK\r\n\n")
+    True
+    >>> has_bare_line_feed(b"HTTP/1.1 200 OK\r\n\r\na body\n")
+    False
+    """
+    return BARE_LINE_FEED.search(data.partition(HEAD_END)[0]) is not None
+
+
 def check_head(head: h11.Request, limits: HttpLimits) -> None:
     """Reject a head that is too large or that two HTTP implementations could read differently.
 
--- a/cactusvane/http/client.py
+++ b/cactusvane/http/client.py
@@ -7,6 +7,7 @@
 
 from cactusvane.errors import BrokenResponseError, ConnectError
 from cactusvane.http.body import ResponseStream
+from cactusvane.http.check import has_bare_line_feed
 from cactusvane.http.message import Request, Response, find_header
 from cactusvane.settings import HttpLimits
 
@@ -188,11 +189,21 @@
         """Feed `data` to the parser and handle the resulting events."""
         try:
             self.parser.receive_data(data)
-            while self.handle_event(self.parser.next_event()):
+            while self.check_lines() and self.handle_event(self.parser.next_event()):
                 pass
         except h11.RemoteProtocolError as error:
             self.fail(f"the response is not valid HTTP: {error}")
 
+    def check_lines(self) -> bool:
+        """Return whether the lines of the head received so far are whole; fail the exchange if not.
+
+        A head that stops early could otherwise look like one that ends.
+        """
+        if self.head is None and has_bare_line_feed(self.parser.trailing_data[0]):
+            self.fail("a line of the response's head has no carriage return")
+            return False
+        return True
+
     def handle_event(self, event: object) -> bool:
         """Handle one event of the parser; return whether another event may follow."""
         match event:
