--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
 from functools import cached_property, partial
 from typing import TYPE_CHECKING, Protocol
 
@@ -22,9 +21,10 @@
 from cactusvane.http.stream import ForwardedStream
 from cactusvane.metrics import KindRecord
 from cactusvane.outcome import Outcome
-from cactusvane.placement.messages import PlacementInputs, PlacementReason, RequestProfile
+from cactusvane.placement.messages import RequestProfile
 from cactusvane.report.objective import meets_objective, objective_of
 from cactusvane.request.admission import Ticket
+from cactusvane.request.attempt_log import AttemptLog
 from cactusvane.request.attempts import (
     AttemptFailed,
     AttemptResult,
@@ -36,14 +36,18 @@
     SendAttempt,
 )
 from cactusvane.request.fingerprint import fingerprint
+from cactusvane.request.responses import (
+    FIRST_ERROR_STATUS,
+    MISDIRECTED_STATUS,
+    check_response,
+    declined,
+)
 from cactusvane.verdict import Verdict
 
 if TYPE_CHECKING:
     from cactusvane.entry import Entry
 
-FIRST_ERROR_STATUS = 300
 FAILED_STATUS = 500
-MISDIRECTED_STATUS = 421
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses by which callers may conclude that a request has not run."""
 
@@ -68,38 +72,6 @@
     return min(match.route.deadline_ms, int(text))
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptLog:
-    """One attempt as written to the log; the field names are keys of the log line.
-
-    Parameters
-    ----------
-    target
-        Name of the target, or its address if the name is unknown.
-    address
-        Address that the request was sent to.
-    outcome
-        How the attempt ended.
-    latency_ms
-        Duration of the attempt in milliseconds.
-    inputs
-        Values that the choice of the target was based on, or None if unknown.
-    why
-        Reason for the choice, or None if unknown.
-    rested_ms
-        Time in milliseconds that the connection had been idle; 0 for a new one, None without a
-        connection.
-    """
-
-    target: str
-    address: str
-    outcome: str
-    latency_ms: float
-    inputs: PlacementInputs | None
-    why: PlacementReason | None
-    rested_ms: float | None
-
-
 class Lease(Protocol):
     """Time-limited permission to send a request."""
 
@@ -404,7 +376,7 @@
                     response = await connection.exchange(
                         self.outgoing_request(remaining), self.reuses_connections
                     )
-            self.check_response(response, connection)
+            check_response(response, connection, self.header_names, self.raw_request_id)
             self.record_rate_limit(response, started)
             self.pool_connection(address, connection, response)
         except ConnectError as error:
@@ -494,26 +466,6 @@
             headers.append((self.header_names.expected_target, place.name.encode()))
         return Request(self.request.method, self.request.target, headers, self.request.body)
 
-    def check_response(self, response: Response, connection: ClientConnection) -> None:
-        """Check that a response is the target's response to this request.
-
-        Raises
-        ------
-        BrokenResponseError
-            It belongs to another request, or an intermediary has changed it.
-        """
-        names = self.header_names
-        if names.request_id:
-            echoed = response.header(names.request_id)
-            unnamed = echoed is None and not connection.reused
-            if not unnamed and echoed != self.raw_request_id:
-                raise BrokenResponseError("the response belongs to another request")
-        if names.signature and response.status < FIRST_ERROR_STATUS:
-            if response.header(names.signature) is None:
-                raise BrokenResponseError("the response has no signature")
-            if response.header(b"content-encoding") is not None:
-                raise BrokenResponseError("the response's body was re-encoded")
-
     def record_rate_limit(self, response: Response, started: float) -> None:
         """Report what a target's response says about its rate limit.
 
@@ -528,27 +480,12 @@
             return
         self.admission.record_rate_limit(self.ticket, field, started)
 
-    def declined(self, address: Address, response: Response) -> AttemptFailed | None:
-        """Return the result if the target reports that it did not start the request, else None."""
-        names = self.header_names
-        if response.rest is not None:
-            return None
-        if names.expected_target and response.status == MISDIRECTED_STATUS:
-            return AttemptFailed(
-                Outcome.DRAINING, Verdict.NOT_RUN, f"{address}: now belongs to another target"
-            )
-        if response.header(names.shed) == b"1":
-            return AttemptFailed(Outcome.SHED, Verdict.NOT_RUN, f"{address}: sheds load")
-        if names.draining and response.status == 503 and response.header(names.draining) == b"1":
-            return AttemptFailed(Outcome.DRAINING, Verdict.NOT_RUN, f"{address}: is draining")
-        return None
-
     async def handle_response(
         self, address: Address, response: Response, started: float
     ) -> AttemptResult:
         """Return the result for a response, and keep it if it may be forwarded to the caller."""
-        if declined := self.declined(address, response):
-            return declined
+        if refused := declined(address, response, self.header_names):
+            return refused
         if not self.route.idempotent and response.status in NOT_RUN_STATUSES:
             if response.rest is not None:
                 await response.rest.aclose()
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -7,7 +7,7 @@
 import asyncio
 import signal
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from functools import partial
 from random import Random
 
@@ -21,9 +21,15 @@
 from cactusvane.fleet.departed import DepartedTargets
 from cactusvane.fleet.lapse import LapsedTargets
 from cactusvane.fleet.vm import Vm
+from cactusvane.fleet_settings import (
+    CONFIGURATION_TABLE,
+    TARGETS_TABLE,
+    TICK_MS,
+    FleetLimits,
+    Platform,
+)
 from cactusvane.following import exchange
-from cactusvane.following.decoder import TableDecoder, VersionedConfiguration
-from cactusvane.following.directory import EntryDirectory
+from cactusvane.following.decoder import VersionedConfiguration
 from cactusvane.following.exchange import (
     TABLES_PATH,
     EntryClient,
@@ -31,92 +37,23 @@
     requested_position,
 )
 from cactusvane.following.finder import EntryFinder
-from cactusvane.following.follower import FollowSettings, TableFollower
+from cactusvane.following.follower import TableFollower
 from cactusvane.following.newest import NewestConfiguration
 from cactusvane.following.notifier import CrashNotifier
 from cactusvane.following.puller import TablePuller
 from cactusvane.following.readers import ReaderCandidate, is_reader
-from cactusvane.following.source import TableSource
 from cactusvane.http.check import bad_request
 from cactusvane.http.connection import FreshConnections
 from cactusvane.http.exchange import Caller
 from cactusvane.http.message import Request, Response
 from cactusvane.http.server import Server
-from cactusvane.http.vocabulary import HeaderNames
 from cactusvane.metrics import Recorder
 from cactusvane.placement.domain import Domain
 from cactusvane.placement.messages import RelayedUpdate, StoreStatus
 from cactusvane.placement.placer import SharedPlacer
-from cactusvane.placement.retries import RetryLimit
 from cactusvane.placement.sender import UpdateSender
-from cactusvane.placement.settings import PlacementSettings
 from cactusvane.settings import Settings
 
-CONFIGURATION_TABLE = "configuration"
-TARGETS_TABLE = "targets"
-
-TICK_MS = 100.0
-"""Interval of the periodic work of placement and of retained targets."""
-
-
-@dataclass(frozen=True, slots=True)
-class Platform:
-    """The platform's interfaces that a process needs.
-
-    Parameters
-    ----------
-    source
-        Tables with the names `CONFIGURATION_TABLE` and `TARGETS_TABLE`.
-    decoder
-        Decoder of the tables' rows.
-    directory
-        Directory in which entries find each other.
-    header_names
-        Names of the header fields that targets understand.
-    """
-
-    source: TableSource
-    decoder: TableDecoder
-    directory: EntryDirectory
-    header_names: HeaderNames
-
-
-@dataclass(frozen=True, slots=True)
-class FleetLimits:
-    """Limits that apply to all entries of the fleet together.
-
-    Parameters
-    ----------
-    retries
-        Limit on the retries of each service.
-    follow
-        Times that determine how soon a change is known on all VMs.
-    placement
-        How requests are placed, and which share of a service's targets must stay in use.
-    target_drain_ms
-        Time from the notice that a target is leaving until it may get no more requests.
-    failure_domains
-        Names of all failure domains.
-    target_lapse_ms
-        Time after which the store drops the row of a silent target.
-    """
-
-    retries: RetryLimit
-    follow: FollowSettings
-    placement: PlacementSettings
-    target_drain_ms: float = 2_000.0
-    target_lapse_ms: float = 4_500.0
-    failure_domains: tuple[str, ...] = ()
-
-    def max_retention_ms(self, connect_ms: float) -> float:
-        """Return how long a target that may have left is retained.
-
-        This VM may learn of the removal later than others, by two delays of batched changes. A
-        request may be sent until the next tick, and reach the target after the connect timeout.
-        """
-        late_ms = 2.0 * self.follow.max_batch_delay_ms + TICK_MS + connect_ms
-        return max(0.0, self.target_drain_ms - late_ms)
-
 
 class FleetProcess:
     """Process of one entry VM.
--- a/tests/adapter/limited.py
+++ b/tests/adapter/limited.py
@@ -10,7 +10,8 @@
 
 from cactusvane.errors import CactusvaneError
 from cactusvane.fleet.vm import Address
-from cactusvane.fleet_process import FleetLimits, FleetProcess
+from cactusvane.fleet_process import FleetProcess
+from cactusvane.fleet_settings import FleetLimits
 from cactusvane.placement.endpoint import UpdateEndpoint
 from cactusvane.placement.messages import Message
 from cactusvane.placement.retries import RetryLimit
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -13,7 +13,8 @@
 
 from cactusvane.errors import ConnectError
 from cactusvane.fleet.vm import Address
-from cactusvane.fleet_process import FleetLimits, FleetProcess, Platform
+from cactusvane.fleet_process import FleetProcess
+from cactusvane.fleet_settings import FleetLimits, Platform
 from cactusvane.following.follower import FollowSettings
 from cactusvane.http.fetch import fetch
 from cactusvane.http.message import Headers, Response
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -9,7 +9,7 @@
 
 from cactusvane.errors import PlatformUnavailableError
 from cactusvane.fleet.vm import Address, Vm
-from cactusvane.fleet_process import CONFIGURATION_TABLE, TARGETS_TABLE
+from cactusvane.fleet_settings import CONFIGURATION_TABLE, TARGETS_TABLE
 from cactusvane.following.source import HistoryLostError
 from cactusvane.http.exchange import Caller
 from cactusvane.http.message import Request, Response
--- a/tests/fleet/test_lapse.py
+++ b/tests/fleet/test_lapse.py
@@ -6,7 +6,7 @@
 
 from cactusvane.fleet.lapse import REREGISTRATION_MS, LapsedTargets
 from cactusvane.fleet.vm import VmState
-from cactusvane.fleet_process import TICK_MS, FleetLimits
+from cactusvane.fleet_settings import TICK_MS, FleetLimits
 from cactusvane.following.follower import FollowSettings
 from cactusvane.placement.retries import RetryLimit
 from cactusvane.placement.settings import PlacementSettings
