An exception that nobody has foreseen does not end the following of a table

The table is followed on after half a second. The test failed before: the entry never saw another row.

--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -54,6 +54,9 @@
 from cactusvane.placement.sender import UpdateSender
 from cactusvane.settings import Settings
 
+RESTART_DELAY_MS = 500.0
+"""Delay before a table is followed again after an exception."""
+
 
 class FleetProcess:
     """Process of one entry VM.
@@ -263,13 +266,22 @@
         address = await self.server.start(self.settings.listen)
         events.write(Event.DAEMON_STARTED, vm=self.settings.vm, address=address)
         for follower in self.followers.values():
-            self.start_task(follower.run())
+            self.start_task(self.follow(follower))
         self.start_task(self.finder.register())
         self.start_task(self.tick())
         self.start_task(self.finder.query_seeds(lambda: self.ready or self.stopping.is_set()))
         await self.stopping.wait()
         await self.stop()
 
+    async def follow(self, follower: TableFollower) -> None:
+        """Follow a table until cancelled, also after an exception that nobody has foreseen."""
+        while True:
+            try:
+                await follower.run()
+            except Exception as error:
+                events.write(Event.DAEMON_TASK_FAILED, error=repr(error))
+            await asyncio.sleep(RESTART_DELAY_MS / MS_PER_SECOND)
+
     def start_task(self, work: Coroutine[None, None, None]) -> None:
         """Run `work` as a background task; an exception in it is logged."""
         task = asyncio.get_running_loop().create_task(work)
--- a/tests/adapter/test_odd_rows.py
+++ b/tests/adapter/test_odd_rows.py
@@ -175,3 +175,22 @@
         await until(lambda: second.version == fleet.operator_version, 1.5)
 
     run_scenario(scenario)
+
+
+def test_a_table_is_followed_on_after_an_exception_that_nobody_has_foreseen() -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await start(fleet)
+        (process,) = fleet.processes
+        refresh, failures = process.refresh_targets, [RuntimeError("unforeseen")]
+
+        def fail_once() -> None:
+            if failures:
+                raise failures.pop()
+            refresh()
+
+        process.refresh_targets = fail_once
+        fleet.store.put("servers", "i0", fleet.targets[0].row(sequence=9))
+        await until(lambda: not failures)
+        await assert_follows(fleet)
+
+    run_scenario(scenario)
