--- a/tests/adapter/fleet.py
+++ b/tests/adapter/fleet.py
@@ -72,6 +72,11 @@
     def __init__(self, directory: Path) -> None:
         super().__init__(directory)
         self.version = 0
+        self.written: dict[tuple[object, object], dict[str, object]] = {}
+
+    async def write_again(self) -> None:
+        """Write all rows again, as operators and targets do after a restore of the store."""
+        await self.write(*self.written.values())
 
     async def start_platform(self) -> None:
         """Start the store and wait until it responds."""
@@ -82,6 +87,7 @@
 
     async def write(self, *rows: dict[str, object]) -> None:
         """Write rows as operators and targets do."""
+        self.written.update({(row["table"], row["key"]): row for row in rows})
         await ask(self.platform_port, "POST", "/_control/rows", msgspec.json.encode(rows))
 
     async def set_platform_faults(self, **faults: object) -> None:
@@ -202,6 +208,16 @@
             await self.fleet.register(listed)
         self.affected.discard(name)
 
+    async def restore(self) -> None:
+        """Bring the store back from a copy some seconds old, and write again what it has lost."""
+        with suppress(OSError, TimeoutError):
+            await self.set_platform_faults(down=True)
+            await self.wait_random()
+            await self.set_platform_faults(restore_ms=1_000.0 * self.random.uniform(1.0, 10.0))
+            await asyncio.sleep(self.random.uniform(0.0, 1.5))
+            await self.fleet.write_again()
+            await self.set_platform_faults()
+
     async def change_configuration(self) -> None:
         """Publish versions in quick succession."""
         with suppress(OSError, TimeoutError):
@@ -231,7 +247,7 @@
 PLATFORM_FAULTS = (
     *("kill_entry", "freeze_entry", "stop_entry", "kill_all", "reload_settings"),
     *("platform_down", "platform_slow", "lose_answers", "freeze_platform"),
-    *("forget_history", "lapse", "change_configuration"),
+    *("forget_history", "lapse", "change_configuration", "restore"),
     *("freeze_target", "kill_target", "gray_target", "wrong_answers", "leave_by_list"),
     *("cut_up", "cut_down", "cut_answers"),
 )
