No entry is asked for what a copy is complete beyond

Callers saw nothing; the entries' links carried the tables for nothing.

Cause: an entry that has read the whole table after a gap names that read as its latest change. Others compared it with the version of their own latest change, which is lower, though they were complete beyond it. They compare with the version up to which they are complete now.

The test failed before.

--- a/cactusvane/following/follower.py
+++ b/cactusvane/following/follower.py
@@ -278,7 +278,7 @@
 
     async def catch_up(self, address: Address, position: TablePosition) -> None:
         """Pull the changes up to `position` from the VM at `address`, unless they are known."""
-        if self.pulling or position <= self.copy.last_change:
+        if self.pulling or position <= self.copy.position:
             return
         self.pulling = True
         try:
--- a/cactusvane/following/puller.py
+++ b/cactusvane/following/puller.py
@@ -59,7 +59,7 @@
         follower = self.followers.get(table)
         if follower is None or table in self.pending:
             return False
-        return position > follower.copy.last_change
+        return position > follower.copy.position
 
     async def pull(self, table: str) -> None:
         """Pull the changes of a table from another entry, after a random delay."""
@@ -100,7 +100,7 @@
             if peer.store_status is not None
         }
         latest = max(positions.values(), default=TablePosition())
-        if latest <= follower.copy.last_change:
+        if latest <= follower.copy.position:
             return None
         holders = [address for address, position in positions.items() if position == latest]
         return self.random.choice(holders), latest
--- a/cactusvane/following/table.py
+++ b/cactusvane/following/table.py
@@ -108,9 +108,14 @@
         """Whether the whole table was read at least once."""
         return self.version > 0
 
+    @property
+    def position(self) -> TablePosition:
+        """Position up to which the copy is complete."""
+        return TablePosition(self.era, self.version)
+
     @property
     def last_change(self) -> TablePosition:
-        """Position of the latest change; equal in copies with the same content."""
+        """Position of the latest change; a copy that is complete up to it has the same content."""
         return TablePosition(self.era, self.last_change_version)
 
     def values(self) -> dict[str, bytes]:
--- a/tests/following/test_puller.py
+++ b/tests/following/test_puller.py
@@ -65,6 +65,15 @@
         assert 0.6 * (2**step - 1) <= pulls <= 1.6 * (2**step - 1)
 
 
+def test_no_entry_is_asked_for_a_change_that_the_copy_is_complete_beyond() -> None:
+    """An entry that has read the whole table names that read as its latest change."""
+    puller, recording = make_puller(3, {0: 9})
+    puller.followers["targets"].copy.apply(TableRows(12, (), whole=False))
+    assert not puller.should_pull("targets", TablePosition(0, 9))
+    asyncio.run(puller.pull("targets"))
+    assert recording.addresses == []
+
+
 def test_another_entry_is_asked_when_one_does_not_respond() -> None:
     puller, recording = make_puller(3, {0: 9, 1: 9, 2: 9})
     follower = puller.followers["targets"]
