Notices about requests that crash targets do not wait for a directory that does not respond

While the platform's store does not respond, each notice to the other failure domains waited for a read of the directory to fail, a second each. It is tried once in 5 s then.

--- a/cactusvane/following/notifier.py
+++ b/cactusvane/following/notifier.py
@@ -18,6 +18,9 @@
 DIRECTORY_REFRESH_MS = 30_000.0
 """Age of the known entries at which the directory is read again before a notice."""
 
+DIRECTORY_RETRY_MS = 5_000.0
+"""Delay before the directory is read again if it did not respond; notices do not wait for it."""
+
 
 class CrashNotifier:
     """Tells the other failure domains of requests that may crash targets.
@@ -65,7 +68,7 @@
         self.random = random
         self.notices = CrashNotices(crashes)
         self.known: dict[str, tuple[Vm, ...]] = {}
-        self.read_at = -inf
+        self.read_due_at = -inf
         self.busy = False
 
     def due(self) -> list[bytes]:
@@ -100,11 +103,13 @@
     async def refresh(self) -> None:
         """Read the directory of all failure domains unless that was done recently."""
         now = self.clock.now()
-        if now - self.read_at < DIRECTORY_REFRESH_MS:
+        if now < self.read_due_at:
             return
+        self.read_due_at = now + DIRECTORY_RETRY_MS
         try:
             for domain in self.failure_domains:
                 self.known[domain] = await self.directory.registered(domain)
-            self.read_at = now
         except PlatformError as error:
             events.write(Event.TABLE_LOST, table="entries", reason=str(error))
+            return
+        self.read_due_at = now + DIRECTORY_REFRESH_MS
