Targets that say they leave, or want a pause, are kept to in one place

What callers saw: requests at targets that had said in each of their responses that they leave, and, where a target turned requests away with a time to come back, more of the same. No code read either field.

What a target says of itself in a response is read once, into one type (rate limit, leaving, pause, and fields without a meaning, each with a line), and applied in one place. A target that leaves gets no request under this start of its process, whatever is listed, in an outage and after a restore; the group is told. A pause concerns the entry that was asked; where all targets pause, a request is rejected at once, and its caller told the end of the shortest pause.

Ruled out: to take the end of leaving from a response without the field: no request is sent any more that could get one. A later start under the same name ends it.

--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -16,9 +16,9 @@
 from cactusvane.http.client import ClientConnection
 from cactusvane.http.exchange import Caller
 from cactusvane.http.message import Request, Response, end_to_end
-from cactusvane.http.rate_limit import NoRateLimit, find_rate_limit
 from cactusvane.http.refusal import VERDICT_HEADER
 from cactusvane.http.stream import ForwardedStream
+from cactusvane.http.target_notice import read_notice
 from cactusvane.metrics import KindRecord
 from cactusvane.outcome import Outcome
 from cactusvane.placement.messages import RequestProfile
@@ -377,7 +377,7 @@
                         self.outgoing_request(remaining), self.reuses_connections
                     )
             check_response(response, connection, self.header_names, self.raw_request_id)
-            self.record_rate_limit(response, started)
+            self.record_notice(response, started)
             self.pool_connection(address, connection, response)
         except ConnectError as error:
             return AttemptFailed(Outcome.UNREACHABLE, error.verdict, str(error))
@@ -466,19 +466,13 @@
             headers.append((self.header_names.expected_target, place.name.encode()))
         return Request(self.request.method, self.request.target, headers, self.request.body)
 
-    def record_rate_limit(self, response: Response, started: float) -> None:
-        """Report what a target's response says about its rate limit.
-
-        Only a response with a status of success shows that there is no limit: others may come from
-        a part of the target that knows of none.
-        """
-        name = self.header_names.rate_limit
-        if not name or self.ticket is None or response.status == MISDIRECTED_STATUS:
-            return
-        field = find_rate_limit(response.headers, name)
-        if isinstance(field, NoRateLimit) and response.status >= FIRST_ERROR_STATUS:
+    def record_notice(self, response: Response, started: float) -> None:
+        """Report what a target says of itself; a misdirected request met another target."""
+        if self.ticket is None or response.status == MISDIRECTED_STATUS:
             return
-        self.admission.record_rate_limit(self.ticket, field, started)
+        notice = read_notice(response, self.header_names)
+        succeeded = response.status < FIRST_ERROR_STATUS
+        self.admission.record_notice(self.ticket, notice, started, succeeded)
 
     async def handle_response(
         self, address: Address, response: Response, started: float
--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -165,6 +165,15 @@
     REQUEST_FORGOTTEN = EventKind(
         1812, logging.INFO, "request {fingerprint} that had crashed targets is no longer rejected"
     )
+    TARGET_LEAVING = EventKind(
+        1813, logging.INFO, "{target} says that it leaves, according to {source}"
+    )
+    TARGET_PAUSED = EventKind(
+        1814, logging.INFO, "{target} wants no request from this VM for {pause_ms} ms"
+    )
+    NOTICE_FIELD_UNUSABLE = EventKind(
+        1815, logging.WARNING, "{target} sent a field without a meaning: {field}: {value}"
+    )
     REQUEST_ATTEMPTED = EventKind(1804, logging.INFO, "{request}: {target}: {outcome}")
     REQUEST_ENDED = EventKind(1805, logging.INFO, "{request}: {status}, {verdict}")
     LINES_DROPPED = EventKind(1901, logging.WARNING, "{lines} log lines were dropped")
--- a/cactusvane/exposition.py
+++ b/cactusvane/exposition.py
@@ -77,7 +77,7 @@
 
 
 def target_counts(recorder: Recorder) -> GaugeMetricFamily:
-    """Return the usable targets of this failure domain, and those unused or rate-limited."""
+    """Return the numbers of targets of this failure domain, by what is known of them."""
     family = GaugeMetricFamily(
         "cactusvane_targets", "Targets of this failure domain", labels=("service", "state")
     )
@@ -85,6 +85,8 @@
         family.add_metric((service, "usable"), counts.usable)
         family.add_metric((service, "unused"), counts.unused)
         family.add_metric((service, "limited"), counts.limited)
+        family.add_metric((service, "leaving"), counts.leaving)
+        family.add_metric((service, "paused"), counts.paused)
     return family
 
 
--- a/cactusvane/http/vocabulary.py
+++ b/cactusvane/http/vocabulary.py
@@ -25,6 +25,9 @@
     rate_limit
         In a target's response: how many requests per second it accepts from all entries together,
         for as long as its responses have the field.
+    leaving
+        In any response of a target: with value ``1``, it leaves. Where it is used, ``Retry-After``
+        in a target's 503 response is the time for which it wants no request from this entry.
     """
 
     deadline: bytes = b"cactusvane-deadline-ms"
@@ -34,6 +37,7 @@
     expected_target: bytes = b""
     signature: bytes = b""
     rate_limit: bytes = b""
+    leaving: bytes = b""
 
     @property
     def set_by_entries(self) -> frozenset[bytes]:
--- a/cactusvane/metrics.py
+++ b/cactusvane/metrics.py
@@ -91,11 +91,17 @@
         Usable targets that no entry of the failure domain has used for two seconds.
     limited
         Usable targets that name a rate limit.
+    leaving
+        Targets that have said in a response that they leave.
+    paused
+        Usable targets that want no request from this VM for some time.
     """
 
     usable: int
     unused: int
     limited: int
+    leaving: int = 0
+    paused: int = 0
 
 
 class Recorder:
--- a/cactusvane/placement/admission.py
+++ b/cactusvane/placement/admission.py
@@ -5,7 +5,7 @@
 
 from cactusvane.clock import MS_PER_SECOND, Clock
 from cactusvane.fleet.vm import Address
-from cactusvane.http.rate_limit import RateLimitField
+from cactusvane.http.target_notice import TargetNotice
 from cactusvane.outcome import Outcome
 from cactusvane.placement.domain import Domain
 from cactusvane.placement.messages import Observation, Place, Reject, RequestProfile, Wait
@@ -144,11 +144,13 @@
         self.schedule_update(outcome in FAILURE_OUTCOMES or outcome is Outcome.STALE)
         self.wake()
 
-    def record_rate_limit(self, ticket: Ticket, field: RateLimitField, sent_at: float) -> None:
-        """Record what a target's response says about its rate limit."""
+    def record_notice(
+        self, ticket: Ticket, notice: TargetNotice, sent_at: float, succeeded: bool
+    ) -> None:
+        """Record what a target says of itself in a response."""
         if ticket.place is not None:
             now = self.clock.now()
-            if self.domain.rate_limits.record_response(ticket.place.name, field, sent_at, now):
+            if self.domain.record_notice(ticket.place.name, notice, sent_at, succeeded, now):
                 self.schedule_update(True)
 
     def withdraw(self, ticket: Ticket) -> None:
--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -6,12 +6,15 @@
 
 from collections import Counter
 from collections.abc import Callable
+from math import inf
 from random import Random
 
 from msgspec.structs import replace
 
 from cactusvane.configuration.model import Configuration
 from cactusvane.fleet.vm import Address, Vm
+from cactusvane.http.rate_limit import NoRateLimit
+from cactusvane.http.target_notice import TargetNotice
 from cactusvane.metrics import TargetCounts
 from cactusvane.placement.groups import Group, count_groups, hash_name
 from cactusvane.placement.messages import Observation, StateUpdate, StoreStatus
@@ -21,6 +24,7 @@
 from cactusvane.placement.rate_limits import RateLimits
 from cactusvane.placement.retries import RetryLimit, SharedRetries
 from cactusvane.placement.settings import PlacementSettings
+from cactusvane.placement.target_notices import TargetNotices
 from cactusvane.request.crashes import CrashRecord
 
 PEER_EXPIRY_MS = 30_000.0
@@ -73,6 +77,7 @@
         self.limit = limit
         self.rate_limits = RateLimits(vm, self.live_group, random)
         self.crashes = CrashRecord()
+        self.notices = TargetNotices(vm)
         self.placements: dict[str, Placement] = {}
         self.retries: dict[str, SharedRetries] = {}
         self.placement_by_target: dict[str, Placement] = {}
@@ -89,7 +94,11 @@
             placement = previous.get(service.name)
             if placement is None:
                 placement = Placement(
-                    self.failure_domain, self.random, self.settings, self.rate_limits
+                    self.failure_domain,
+                    self.random,
+                    self.settings,
+                    self.rate_limits,
+                    self.notices,
                 )
                 placement.idle_ms = self.idle_ms
             self.placements[service.name] = placement
@@ -204,6 +213,7 @@
         self.record_retry_usage(update, now)
         self.rate_limits.receive(update.rate_limits or {}, update.sender, now)
         self.crashes.receive(update.crash_reports, now, pass_on=False)
+        self.notices.receive(update.leaving or {}, update.sender, now)
         if last is not None and last.started != update.started:
             peer.known_observations = 0
         self.record_observations(peer, update, now)
@@ -226,6 +236,7 @@
             retries.expire(now)
         self.rate_limits.expire(now)
         self.crashes.expire(now)
+        self.notices.expire(self.placement_by_target, now)
         group = self.group()
         for vm, peer in tuple(self.peers.items()):
             if now - peer.last_seen_at <= PEER_TIMEOUT_MS:
@@ -265,6 +276,32 @@
         """Return the numbers of usable and unused targets of the own failure domain, by service."""
         return {name: each.count_targets(now) for name, each in self.placements.items()}
 
+    def record_notice(
+        self, target: str, notice: TargetNotice, sent_at: float, succeeded: bool, now: float
+    ) -> bool:
+        """Record what a target said of itself; return whether the other entries are to be told.
+
+        Parameters
+        ----------
+        target
+            Name of the target.
+        notice
+            What it said in a response to this entry.
+        sent_at
+            When the request was sent, in milliseconds (monotonic clock of the process).
+        succeeded
+            Whether the response has a status of success. Only then does it show that there is no
+            rate limit: others may come from a part of the target that knows of none.
+        now
+            Current time on the same clock.
+        """
+        placement = self.placement_by_target.get(target)
+        started_ms = inf if placement is None else placement.targets[target].vm.started_ms
+        news = self.notices.record(target, started_ms, notice, now)
+        if isinstance(notice.rate_limit, NoRateLimit) and not succeeded:
+            return news
+        return self.rate_limits.record_response(target, notice.rate_limit, sent_at, now) or news
+
     def observe(self, observation: Observation) -> None:
         """Add an observation to the next update."""
         self.outbox.observe(observation)
@@ -300,4 +337,5 @@
             self.strength,
             self.rate_limits.reports(status is not None, now),
             self.crashes.take_news(status is not None, self.random, now),
+            self.notices.reports(status is not None, now),
         )
--- a/cactusvane/placement/messages.py
+++ b/cactusvane/placement/messages.py
@@ -184,6 +184,21 @@
     age_ms: float
 
 
+class LeavingReport(msgspec.Struct, frozen=True, array_like=True):
+    """A target has told one entry that it leaves.
+
+    Parameters
+    ----------
+    started_ms
+        Start of the target's process in milliseconds since the epoch; infinite if not known.
+    age_ms
+        Time since then.
+    """
+
+    started_ms: float
+    age_ms: float
+
+
 class StateUpdate(msgspec.Struct, frozen=True, array_like=True, tag="n"):
     """State that one entry sends to the other entries of its failure domain.
 
@@ -214,6 +229,9 @@
     crash_reports
         What the entry knows of requests that may crash targets, as far as it is new; a full update
         repeats some of it.
+    leaving
+        Targets, by name, that have told the entry that they leave; None if those last sent still
+        hold.
     """
 
     sender: str
@@ -227,6 +245,7 @@
     strength: int = 0
     rate_limits: dict[str, RateLimitReport] | None = None
     crash_reports: tuple[CrashReport, ...] = ()
+    leaving: dict[str, LeavingReport] | None = None
 
     @property
     def is_full(self) -> bool:
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -33,6 +33,7 @@
 from cactusvane.placement.rate_limits import RateLimits
 from cactusvane.placement.settings import PlacementSettings
 from cactusvane.placement.target import Target
+from cactusvane.placement.target_notices import TargetNotices
 
 FAILURE_OUTCOMES = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.TIMED_OUT})
 """Outcomes that count as evidence of failure of a target that was reached."""
@@ -40,6 +41,9 @@
 TIE_BREAK_SHARE = 0.05
 """Random part of a cost, as a share of the expected latency, so that equal targets share evenly."""
 
+MAX_LATE_RETURN = 1.1
+"""Callers are told to come back after a pause at different times, up to this multiple of it."""
+
 UNUSED_MS = 2_000.0
 """A target without a request for this long counts as unused in the metrics."""
 
@@ -57,6 +61,8 @@
         How loads and evidence become decisions.
     rate_limits
         Rate limits of the targets.
+    notices
+        Which targets have said that they leave, or that they want a pause.
 
     Attributes
     ----------
@@ -76,11 +82,13 @@
         random: Random,
         settings: PlacementSettings,
         rate_limits: RateLimits,
+        notices: TargetNotices,
     ) -> None:
         self.failure_domain = failure_domain
         self.random = random
         self.settings = settings
         self.rate_limits = rate_limits
+        self.notices = notices
         self.targets: dict[str, Target] = {}
         self.cooldown_carry = floor.ROUND_HALF
         self.latencies = LatencyEstimates(settings)
@@ -132,13 +140,13 @@
         accepting = [
             target
             for target in self.targets.values()
-            if target.accepts_requests(now) and target.vm.address not in tried
+            if self.accepts_requests(target, now) and target.vm.address not in tried
         ]
         if not accepting:
             return self.wait_or_reject(profile, "no-target", profile.latency_ms, now)
-        usable = [t for t in accepting if self.rate_limits.next_send_at(t.vm, now) <= now]
+        usable = [target for target in accepting if self.next_send_at(target, now) <= now]
         if not usable:
-            return self.wait_for_rate(profile, accepting, now)
+            return self.wait_for_turn(profile, accepting, now)
         probes = [] if tried else self.targets_to_probe(usable, profile, now)
         if probes:
             decision = self.choose(probes, PlacementReason.UNUSED, profile, now)
@@ -204,18 +212,29 @@
             return Wait(until)
         return Reject(reason, self.retry_after_ms(wait_ms))
 
-    def wait_for_rate(
+    def wait_for_turn(
         self, profile: RequestProfile, limited: list[Target], now: float
     ) -> Wait | Reject:
-        """Return the decision on a request when no rate limit permits one more now.
+        """Return the decision on a request when each target has a rate limit or wants a pause.
 
         It waits only if this entry may send a request before its waiting time is over.
         """
-        next_at = min(self.rate_limits.next_send_at(target.vm, now) for target in limited)
+        next_at = min(self.next_send_at(target, now) for target in limited)
         if next_at <= profile.arrived + self.settings.wait_share * profile.latency_ms:
             return Wait(next_at)
+        if all(self.notices.next_send_at(target.vm) > now for target in limited):
+            return Reject("paused", (next_at - now) * self.random.uniform(1.0, MAX_LATE_RETURN))
         return Reject("limited", self.retry_after_ms(next_at - now))
 
+    def accepts_requests(self, target: Target, now: float) -> bool:
+        """Return whether a target may get new requests at all."""
+        return target.accepts_requests(now) and not self.notices.is_leaving(target.vm)
+
+    def next_send_at(self, target: Target, now: float) -> float:
+        """Return when this entry may send the next request to a target, by what that has said."""
+        limited_until = self.rate_limits.next_send_at(target.vm, now)
+        return max(limited_until, self.notices.next_send_at(target.vm))
+
     def retry_after_ms(self, wait_ms: float) -> float:
         """Return the time after which a caller may retry, with jitter to spread the retries."""
         settings = self.settings
@@ -290,11 +309,17 @@
         local = [
             target
             for target in self.targets.values()
-            if target.accepts_requests(now) and target.vm.failure_domain == self.failure_domain
+            if self.accepts_requests(target, now)
+            and target.vm.failure_domain == self.failure_domain
         ]
+        leaving = sum(
+            self.notices.is_leaving(target.vm) and target.vm.failure_domain == self.failure_domain
+            for target in self.targets.values()
+        )
+        paused = sum(self.notices.next_send_at(target.vm) > now for target in local)
         unused = sum(now - target.used_at > UNUSED_MS for target in local)
         limited = sum(self.rate_limits.is_limited(target.vm.name) for target in local)
-        return TargetCounts(len(local), unused, limited)
+        return TargetCounts(len(local), unused, limited, leaving, paused)
 
     def record_start(self, name: str, now: float) -> None:
         """Record that a request was sent to a target."""
--- a/cactusvane/placement/relaying.py
+++ b/cactusvane/placement/relaying.py
@@ -436,7 +436,13 @@
     >>> count_items(StateUpdate("a", 1, 1, {"t1": 2, "t2": 1}))
     4
     """
-    parts = (update.in_flight, update.observations, update.retry_usage, update.rate_limits)
+    parts = (
+        update.in_flight,
+        update.observations,
+        update.retry_usage,
+        update.rate_limits,
+        update.leaving,
+    )
     reports = ITEMS_PER_REPORT * len(update.crash_reports)
     return 2 + reports + sum(len(part) for part in parts if part)
 
@@ -457,5 +463,6 @@
         retry_usage=earlier.retry_usage if later.retry_usage is None else later.retry_usage,
         store_status=earlier.store_status if later.store_status is None else later.store_status,
         rate_limits=earlier.rate_limits if later.rate_limits is None else later.rate_limits,
+        leaving=earlier.leaving if later.leaving is None else later.leaving,
         crash_reports=(earlier.crash_reports + later.crash_reports)[-MAX_CRASH_REPORTS:],
     )
--- a/cactusvane/request/admission.py
+++ b/cactusvane/request/admission.py
@@ -4,7 +4,7 @@
 
 from cactusvane.configuration.model import Configuration
 from cactusvane.fleet.vm import Address, Vm
-from cactusvane.http.rate_limit import RateLimitField
+from cactusvane.http.target_notice import TargetNotice
 from cactusvane.outcome import Outcome
 from cactusvane.placement.messages import Place, Reject, RequestProfile
 from cactusvane.request.budget import RetryLimiter
@@ -116,17 +116,21 @@
             connection had been idle.
         """
 
-    def record_rate_limit(self, ticket: Ticket, field: RateLimitField, sent_at: float) -> None:
-        """Record what a target's response says about its rate limit.
+    def record_notice(
+        self, ticket: Ticket, notice: TargetNotice, sent_at: float, succeeded: bool
+    ) -> None:
+        """Record what a target says of itself in a response.
 
         Parameters
         ----------
         ticket
             The request, which is still in flight at the target.
-        field
-            The response's field.
+        notice
+            What the response says.
         sent_at
             When the attempt began, in milliseconds (monotonic clock of the process).
+        succeeded
+            Whether the response has a status of success.
         """
 
     def withdraw(self, ticket: Ticket) -> None:
--- a/cactusvane/slots/admission.py
+++ b/cactusvane/slots/admission.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from cactusvane.fleet.vm import Address
-from cactusvane.http.rate_limit import RateLimitField
+from cactusvane.http.target_notice import TargetNotice
 from cactusvane.outcome import Outcome
 from cactusvane.placement.messages import RequestProfile
 from cactusvane.pool.messages import AttemptEnded, AttemptStarted, PoolEvent
@@ -76,8 +76,10 @@
         if outcome is not Outcome.SHED:
             ticket.queue_ticket = None
 
-    def record_rate_limit(self, ticket: Ticket, field: RateLimitField, sent_at: float) -> None:
-        """Do nothing: `cactusvaned` has no field for rate limits, so keepers know none."""
+    def record_notice(
+        self, ticket: Ticket, notice: TargetNotice, sent_at: float, succeeded: bool
+    ) -> None:
+        """Do nothing: `cactusvaned` has no names for these fields, so no response has them."""
 
     def withdraw(self, ticket: Ticket) -> None:
         """Remove a request that will not be sent again."""
--- a/tests/placement/fixtures.py
+++ b/tests/placement/fixtures.py
@@ -9,6 +9,7 @@
 from cactusvane.placement.placement import Placement
 from cactusvane.placement.rate_limits import RateLimits
 from cactusvane.placement.settings import PlacementSettings
+from cactusvane.placement.target_notices import TargetNotices
 
 LOCAL = "Gobabis"
 REMOTE = "Witvlei"
@@ -26,7 +27,7 @@
 
 def make_placement(*vms: Vm, seed: int = 1) -> Placement:
     limits = make_rate_limits()
-    placement = Placement(LOCAL, Random(seed), PlacementSettings(), limits)
+    placement = Placement(LOCAL, Random(seed), PlacementSettings(), limits, TargetNotices("e1"))
     placement.set_targets(vms, 0.0)
     return placement
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -9,6 +9,7 @@
 from cactusvane.outcome import Outcome
 from cactusvane.placement.placement import Placement
 from cactusvane.placement.settings import PlacementSettings
+from cactusvane.placement.target_notices import TargetNotices
 from cactusvane.pool.messages import Ejected
 from cactusvane.settings import Settings
 from cactusvane.verdict import Verdict
@@ -33,7 +34,8 @@
 
 
 def test_exposition_lists_usable_unused_and_limited_targets_of_a_service():
-    placement = Placement("Gobabis", Random(1), PlacementSettings(), make_rate_limits())
+    notices = TargetNotices("e1")
+    placement = Placement("Gobabis", Random(1), PlacementSettings(), make_rate_limits(), notices)
     vms = [Vm(f"t{number}", Address("10.0.0.1", number), "Gobabis") for number in range(3)]
     placement.set_targets([*vms, Vm("far", Address("10.0.0.2", 1), "Witvlei")], 0.0)
     placement.record_start("t1", 1_500.0)
@@ -45,6 +47,8 @@
     assert 'cactusvane_targets{service="records",state="usable"} 3.0' in text
     assert 'cactusvane_targets{service="records",state="unused"} 2.0' in text
     assert 'cactusvane_targets{service="records",state="limited"} 1.0' in text
+    assert 'cactusvane_targets{service="records",state="leaving"} 0.0' in text
+    assert 'cactusvane_targets{service="records",state="paused"} 0.0' in text
 
 
 def test_an_ejection_is_counted_for_its_service():
