Addresses are checked for an IP number where they come from others, in one place

Hosts of settings are checked as before; registrations of entries and rows of targets must have IP numbers.

--- a/cactusvane/fleet/vm.py
+++ b/cactusvane/fleet/vm.py
@@ -1,13 +1,14 @@
 """VMs as in the platform's VM list."""
 
+import ipaddress
 from dataclasses import dataclass
 from enum import Enum
 from typing import Annotated
 
 from msgspec import Meta
 
-Host = Annotated[str, Meta(pattern=r"^[0-9A-Fa-f:.]{2,45}\Z")]
-"""An IP address as text; host names are not resolved."""
+Host = Annotated[str, Meta(pattern=r"^[!-~]{1,253}\Z")]
+"""An IP address as text."""
 
 Port = Annotated[int, Meta(ge=1, le=65_535)]
 
@@ -32,6 +33,15 @@
     host: Host
     port: Port
 
+    @property
+    def is_numeric(self) -> bool:
+        """Whether the host is an IP address; host names are not resolved."""
+        try:
+            ipaddress.ip_address(self.host)
+        except ValueError:
+            return False
+        return True
+
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
 
--- a/cactusvane/settings.py
+++ b/cactusvane/settings.py
@@ -1,6 +1,5 @@
 """Settings of one daemon, with all their defaults."""
 
-import ipaddress
 from dataclasses import dataclass, field
 from typing import Annotated, ClassVar
 
@@ -126,10 +125,8 @@
         An address is invalid; the message names the file and the first such address.
     """
     for address in settings.addresses:
-        try:
-            ipaddress.ip_address(address.host)
-        except ValueError:
+        if not address.is_numeric:
             text = f"{file}: {address}: write an IP address, since host names are not resolved"
-            raise SettingsError(text) from None
+            raise SettingsError(text)
         if not 0 <= address.port <= MAX_PORT:
             raise SettingsError(f"{file}: {address}: write a port from 0 to {MAX_PORT}")
--- a/tests/adapter/test_odd_rows.py
+++ b/tests/adapter/test_odd_rows.py
@@ -127,12 +127,15 @@
 def test_odd_registrations_of_entries_are_skipped(port: int) -> None:
     async def scenario(fleet: Fleet) -> None:
         address = {"host": "127.0.0.1", "port": port}
+        good = {"host": "127.0.0.1", "port": 80}
         values = [
             NESTED,
             b"\xff",
             msgspec.json.encode(ODD_ENTRY | {"address": address, "peer": address}),
-            msgspec.json.encode(
-                ODD_ENTRY | {"address": address, "peer": {"host": "a\nb", "port": 80}}
+            msgspec.json.encode(ODD_ENTRY | {"address": address}),
+            *(
+                msgspec.json.encode(ODD_ENTRY | {"address": good, "peer": good | {"host": host}})
+                for host in ("a\nb", "somewhere.example", "")
             ),
         ]
         for number, value in enumerate(values):
