--- a/cactusvane/request/crashes.py
+++ b/cactusvane/request/crashes.py
@@ -96,8 +96,10 @@
 class CrashRecord:
     """What is known of requests that may crash targets, by fingerprint.
 
-    Parameters
+    Attributes
     ----------
+    suspects
+        What is known of each request.
     unsent
         Requests about which the other entries of the group are to be told.
     witnessed
