--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -20,11 +20,17 @@
         Value (None where the row was removed) and version by table, part and key.
     ver
         Version of the newest transaction.
+    era
+        Number of times that it came back from an older copy, plus one.
+    away
+        Whether it turns all calls away.
     """
 
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str, str], tuple[bytes | None, int]] = {}
         self.ver = 0
+        self.era = 1
+        self.away = False
         self.changed = asyncio.Event()
 
     async def start(self) -> int:
@@ -40,6 +46,12 @@
         self.rows[table, part, key] = (data, self.ver)
         self.notify()
 
+    def come_back(self) -> None:
+        """Come back from a copy made after the newest transaction: only the era differs."""
+        self.era += 1
+        self.away = False
+        self.notify()
+
     def notify(self) -> None:
         """Wake the reads that wait for changes."""
         self.changed.set()
@@ -50,7 +62,7 @@
         try:
             while (call := await read_message(reader)) is not None:
                 status, body = await self.respond(call)
-                headers = [("Content-Type", "application/json")]
+                headers = [("Content-Type", "application/json"), ("Store-Era", str(self.era))]
                 data = json.dumps(body).encode()
                 writer.write(encode(f"HTTP/1.1 {status} X", headers, data))
                 await writer.drain()
@@ -61,6 +73,8 @@
 
     async def respond(self, call: Message) -> tuple[int, Row]:
         """Return status and body of the response to a call."""
+        if self.away:
+            return 503, {}
         url = urlsplit(call.start[1])
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
         match url.path:
--- a/review/lib/upstream.py
+++ b/review/lib/upstream.py
@@ -24,6 +24,11 @@
         Requests that it runs concurrently.
     queue
         Requests that wait for a slot; it turns away any more, and says so.
+
+    Attributes
+    ----------
+    arrivals
+        When a request reached it, in seconds of the event loop's clock.
     """
 
     def __init__(
@@ -44,6 +49,8 @@
         self.free = asyncio.Semaphore(slots)
         self.present = 0
         self.port = 0
+        self.arrivals: list[float] = []
+        self.writers: set[asyncio.StreamWriter] = set()
         self.stamps = itertools.count(1)
 
     async def start(self) -> None:
@@ -67,15 +74,25 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer the requests of one connection, one at a time."""
+        self.writers.add(writer)
         try:
             while (request := await read_message(reader)) is not None:
+                self.arrivals.append(asyncio.get_running_loop().time())
                 writer.write(await self.respond(request))
                 await writer.drain()
         except (MessageError, OSError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
+    def exit(self) -> None:
+        """End as a process does: its connections and its port are closed."""
+        self.record.write("exits", self.name)
+        self.server.close()
+        for writer in tuple(self.writers):
+            writer.transport.abort()
+
     async def respond(self, request: Message) -> bytes:
         """Run a request and return its answer."""
         request_id = request.headers.get("x-request-id", "")
