A stopping entry answers the pipelined reads that it has passed on

Hypotheses: the close comes with the first answer (A), the reset at the end of the drain takes them (B), or the caller had gone (C). No line told them apart, since requests that are cancelled leave none. Line 1104 now names what a connection leaves unanswered and why. In the failing test the connection ends some milliseconds after the first answer, long before the drain ends, with the caller still there: A.

Cause: `send` asked only whether the server is leaving, not whether requests behind the answer had been passed on, and `finish` then cancelled them.

Change: a connection is "ending" from the first answer of a stop on. Nothing more is passed on from it; its last answer bears the close. Requests behind that were not passed on may be sent again, as HTTP says. Related paths with the same cause: a read that arrives behind a streamed answer that announced the close was passed on and lost; a streamed answer that had begun before the stop ended the connection without an announcement; a caller that closed its side got the first answer only.

--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -49,6 +49,9 @@
     )
     HTTP_SEND_FAILED = EventKind(1102, logging.ERROR, "a response could not be sent: {error}")
     HTTP_REFUSED = EventKind(1103, logging.INFO, "rejected a caller's request: {status}, {code}")
+    HTTP_UNANSWERED = EventKind(
+        1104, logging.INFO, "a connection ended with {count} requests unanswered: {reason}"
+    )
     TARGET_EJECTED = EventKind(1201, logging.WARNING, "{service}: {target} was ejected: {reason}")
     TARGET_RETURNED = EventKind(1202, logging.INFO, "{service}: {target} was restored")
     OWN_PATH_SUSPECTED = EventKind(
--- a/cactusvane/http/exchange.py
+++ b/cactusvane/http/exchange.py
@@ -10,6 +10,9 @@
 PIPELINED_METHODS = frozenset({b"GET", b"HEAD"})
 """Methods that only read, so that pipelined requests with them may run concurrently."""
 
+MAX_LOGGED_TARGET = 80
+"""Maximum number of characters of a request target in a log line."""
+
 
 class Caller:
     """The caller of one request.
@@ -69,6 +72,14 @@
         """Whether the request only reads, so that it may run concurrently with others."""
         return self.method in PIPELINED_METHODS
 
+    @property
+    def summary(self) -> str:
+        """Method and the beginning of the target, for log lines."""
+        head = self.head
+        if head is None:
+            return ""
+        return f"{head.method.decode('ascii')} {head.target[:MAX_LOGGED_TARGET].decode('ascii')}"
+
     def allow_response(self) -> None:
         """Allow the response to be written."""
         if not self.may_respond.done():
--- a/cactusvane/http/server.py
+++ b/cactusvane/http/server.py
@@ -92,7 +92,7 @@
     def abort(self) -> None:
         """Reset all connections."""
         for connection in tuple(self.connections):
-            connection.reset()
+            connection.reset("the drain has ended")
 
     def remove(self, connection: "ServerConnection") -> None:
         """Remove a closed connection."""
@@ -111,6 +111,16 @@
     ----------
     server
         Provides the limits, the handler and the set of connections.
+
+    Attributes
+    ----------
+    ending
+        Whether the requests that were passed to the handler are the last ones of the connection;
+        the response to the last of them announces the close.
+    closing
+        Whether nothing more is read or written.
+    was_reset
+        Whether this side reset the connection.
     """
 
     def __init__(self, server: Server) -> None:
@@ -126,7 +136,9 @@
         self.pending_bytes = 0
         self.head_started = False
         self.caller_gone = False
+        self.ending = False
         self.closing = False
+        self.was_reset = False
         self.writable = asyncio.Event()
         self.writable.set()
 
@@ -156,11 +168,27 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timer and notify the handlers that the caller is gone."""
         self.closing = True
+        if not self.was_reset:
+            self.log_unanswered("the caller closed it")
         self.stop_timer()
         self.writable.set()
         self.server.remove(self)
         self.notify_gone()
 
+    def log_unanswered(self, reason: str) -> None:
+        """Log the requests that the handler has and whose responses the caller does not get."""
+        if not self.exchanges:
+            return
+        requests = [exchange.summary for exchange in self.exchanges]
+        events.write(
+            Event.HTTP_UNANSWERED,
+            count=len(requests),
+            reason=reason,
+            requests=requests,
+            leaving=self.server.leaving,
+            draining=self.server.draining,
+        )
+
     def notify_gone(self) -> None:
         """Notify the handlers of all requests that the caller is gone."""
         self.caller_gone = True
@@ -234,7 +262,7 @@
 
     def may_read_next(self) -> bool:
         """Return whether the next request may be read while earlier ones are in progress."""
-        if len(self.exchanges) >= MAX_PIPELINED:
+        if self.ending or len(self.exchanges) >= MAX_PIPELINED:
             return False
         if self.incoming.head is not None and not self.may_run(self.incoming.head):
             return False
@@ -340,11 +368,13 @@
                 await self.send(exchange, response)
             elif response.rest is not None:
                 await response.rest.aclose()
-        except (BrokenResponseError, asyncio.CancelledError):
-            self.reset()
+        except BrokenResponseError as error:
+            self.reset(f"a response broke off: {error}")
+        except asyncio.CancelledError:
+            self.reset("a request was cancelled")
         except Exception as error:
             events.write(Event.HTTP_SEND_FAILED, error=repr(error))
-            self.reset()
+            self.reset(f"a response could not be sent: {error!r}")
         finally:
             self.finish(exchange)
 
@@ -361,7 +391,8 @@
 
     async def send(self, exchange: Exchange, response: Response) -> None:
         """Write a response as fast as the caller reads it."""
-        close = self.server.leaving or exchange.caller.gone
+        self.ending = self.ending or self.server.leaving or exchange.caller.gone
+        close = self.ending and self.exchanges[-1] is exchange and self.rejection is None
         head = exchange.encode_head(response, close)
         if response.rest is None:
             self.transport.write(head + exchange.encode_end())
@@ -395,7 +426,7 @@
                 await asyncio.wait_for(self.writable.wait(), self.limits.body_ms / MS_PER_SECOND)
             except TimeoutError:
                 if self.transport.get_write_buffer_size() >= before:
-                    self.reset()
+                    self.reset("the caller does not read")
 
     def finish(self, exchange: Exchange) -> None:
         """Continue after a response: with the next response, the next request, or by closing."""
@@ -406,13 +437,15 @@
             return
         parser = exchange.parser
         done = parser.our_state is h11.DONE and parser.their_state is h11.DONE
-        if not done or self.server.leaving or exchange.caller.gone:
+        if not done:
             self.close()
             self.cancel_safe_requests()
             return
         if self.exchanges:
             self.exchanges[0].allow_response()
         self.read_next()
+        if self.server.draining:
+            self.drain()
 
     def read_next(self) -> None:
         """Read the next request, which may already be buffered."""
@@ -468,7 +501,8 @@
 
     def drain(self) -> None:
         """Close now if idle; otherwise the connection closes after the current response."""
-        if not self.exchanges and self.incoming.head is None and not self.head_started:
+        idle = not self.exchanges and self.incoming.head is None and not self.head_started
+        if idle and not self.closing:
             self.close()
 
     def close(self) -> None:
@@ -477,9 +511,11 @@
         self.set_timer(self.limits.body_ms, self.transport.abort)
         self.transport.close()
 
-    def reset(self) -> None:
+    def reset(self, reason: str) -> None:
         """Reset the connection, so that a truncated response is not taken for a complete one."""
-        self.closing = True
+        if not self.was_reset:
+            self.log_unanswered(reason)
+        self.was_reset = self.closing = True
         sock = self.transport.get_extra_info("socket")
         if sock is not None and not self.transport.is_closing():
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
