A restore that changes no row is reported like any other

Hypotheses: entries learn of the removal late (A), they retain the target for an outage (B), or for the restore (C). Line 1703 shows the removal at all entries within 0.2 s, so not A. Line 1816 is new and gives the reason of a retention: "the store was restored", 2000 ms, seconds after line 1709 of that restore, and no failed call since: C.

Cause: the follower reported a restore to the list of targets only together with changed rows. `DepartedTargets` kept the era before, so that the next change of a row, whenever it came, counted as the first list after the restore, and the missing target as one that registers again.

Change: one event, `TableChange`, reports each restore once, whether rows changed or not; the separate `on_restore` goes, so that no part can learn of one without the other. Looked at for the same cause: the registration of the entry (it had its own call, after the rows), `LapsedTargets`, the configuration (newest version wins, holds no era), claims (no era), what peers are told (the era stands beside the version). Learnt from a peer, in two restores, or with the removal in the same read: each has a test.

--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -177,6 +177,11 @@
     NOTICE_FIELD_UNUSABLE = EventKind(
         1815, logging.WARNING, "{target} sent a field without a meaning: {field}: {value}"
     )
+    TARGET_RETAINED = EventKind(
+        1816,
+        logging.INFO,
+        "{service}: {target} is used for {for_ms} ms more without its registration, since {reason}",
+    )
     REQUEST_ATTEMPTED = EventKind(1804, logging.INFO, "{request}: {target}: {outcome}")
     REQUEST_ENDED = EventKind(1805, logging.INFO, "{request}: {status}, {verdict}")
     LINES_DROPPED = EventKind(1901, logging.WARNING, "{lines} log lines were dropped")
--- a/cactusvane/fleet/lapse.py
+++ b/cactusvane/fleet/lapse.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass
 from math import inf
 
+from cactusvane import events
+from cactusvane.events import Event
 from cactusvane.fleet.vm import Vm, VmState
 
 REREGISTRATION_MS = 2_000.0
@@ -89,6 +91,7 @@
         for name, vm in self.present.items():
             if name not in present and vm.state is VmState.LIVE:
                 self.retained[name] = RetainedTarget(vm, expires_at)
+                self.log_retained(vm, expires_at - now, restored)
         self.present = present
         addresses = {vm.address for vm in vms}
         self.retained = {
@@ -100,6 +103,18 @@
         }
         return (*vms, *(retained.vm for retained in self.retained.values()))
 
+    def log_retained(self, vm: Vm, for_ms: float, restored: bool) -> None:
+        """Log that a target whose registration vanished is still used."""
+        if for_ms > 0.0:
+            reason = "the store was restored" if restored else "the store failed"
+            events.write(
+                Event.TARGET_RETAINED,
+                service=vm.service,
+                target=vm.name,
+                for_ms=round(for_ms),
+                reason=reason,
+            )
+
     def has_expired(self, now: float) -> bool:
         """Return whether a retained target has to be dropped now."""
         return any(now >= retained.expires_at for retained in self.retained.values())
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -37,7 +37,7 @@
     requested_position,
 )
 from cactusvane.following.finder import EntryFinder
-from cactusvane.following.follower import TableFollower
+from cactusvane.following.follower import TableChange, TableFollower
 from cactusvane.following.newest import NewestConfiguration
 from cactusvane.following.notifier import CrashNotifier
 from cactusvane.following.puller import TablePuller
@@ -130,7 +130,6 @@
             ),
             TARGETS_TABLE: self.make_follower(TARGETS_TABLE, self.targets_changed),
         }
-        self.followers[TARGETS_TABLE].on_restore = self.store_restored
         self.finder = EntryFinder(
             settings,
             platform.directory,
@@ -170,9 +169,7 @@
         self.was_ready = False
         self.tasks: set[asyncio.Task[None]] = set()
 
-    def make_follower(
-        self, table: str, changed: Callable[[tuple[str, ...]], None]
-    ) -> TableFollower:
+    def make_follower(self, table: str, changed: Callable[[TableChange], None]) -> TableFollower:
         """Return a follower of one table.
 
         Parameters
@@ -180,7 +177,7 @@
         table
             Name of the table.
         changed
-            Called with the keys of the changed rows.
+            Called with each change.
         """
         follower = TableFollower(
             table,
@@ -294,7 +291,7 @@
         if not task.cancelled() and (error := task.exception()):
             events.write(Event.DAEMON_TASK_FAILED, error=repr(error))
 
-    def configuration_changed(self, keys: tuple[str, ...]) -> None:
+    def configuration_changed(self, change: TableChange) -> None:
         """Activate the table's configuration if it is newer than the active one."""
         self.offer_configuration(self.followers[CONFIGURATION_TABLE].copy.values())
 
@@ -322,16 +319,14 @@
         events.write(Event.CONFIGURATION_ADOPTED, version=found.version)
         self.log_ready()
 
-    def targets_changed(self, keys: tuple[str, ...]) -> None:
-        """Apply the table's targets."""
+    def targets_changed(self, change: TableChange) -> None:
+        """Apply the table's targets; after a restore, check this VM's registration too."""
+        if change.restored:
+            self.start_task(self.finder.renew())
         self.refresh_targets()
         self.update_sender.schedule_update(urgent=True)
         self.log_ready()
 
-    def store_restored(self) -> None:
-        """Check whether what this VM wrote to the store is still there."""
-        self.start_task(self.finder.renew())
-
     def refresh_targets(self) -> None:
         """Pass all targets to the entry, with those that lapsed in an outage.
 
--- a/cactusvane/following/follower.py
+++ b/cactusvane/following/follower.py
@@ -28,6 +28,22 @@
 """Growth of this delay with each read that returns changes soon after the previous ones."""
 
 
+@dataclass(frozen=True, slots=True)
+class TableChange:
+    """What a read changed in the copy of a table.
+
+    Parameters
+    ----------
+    keys
+        Keys of the rows whose values changed; a restore may change none.
+    restored
+        Whether the platform came back from an older copy since the change before.
+    """
+
+    keys: tuple[str, ...]
+    restored: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class FollowSettings:
     """Times that determine how soon a change is known on all VMs, in milliseconds.
@@ -79,9 +95,8 @@
     copy
         Copy of the table.
     on_change
-        Called with the keys of the changed rows, after the copy was changed.
-    on_restore
-        Called when the platform came back from an older copy, after the copy was changed.
+        Called after the copy was changed: for changed rows, and once for each restore of the
+        platform, whether rows changed with it or not.
     on_response
         Called when the platform responded.
     should_read
@@ -118,8 +133,7 @@
         self.clock = clock
         self.random = random
         self.copy = TableCopy()
-        self.on_change: Callable[[tuple[str, ...]], None] = lambda keys: None
-        self.on_restore: Callable[[], None] = lambda: None
+        self.on_change: Callable[[TableChange], None] = lambda change: None
         self.on_response: Callable[[], None] = lambda: None
         self.should_read: Callable[[], bool] = lambda: True
         self.failing = False
@@ -264,7 +278,7 @@
                 known_version=version,
                 source=source,
             )
-        if changed or first:
+        if changed or first or restored:
             events.write(
                 Event.TABLE_CHANGED,
                 table=self.table,
@@ -272,9 +286,7 @@
                 rows=len(changed),
                 source=source,
             )
-            self.on_change(changed)
-        if restored:
-            self.on_restore()
+            self.on_change(TableChange(changed, restored))
 
     async def catch_up(self, address: Address, position: TablePosition) -> None:
         """Pull the changes up to `position` from the VM at `address`, unless they are known."""
--- a/tests/adapter/test_restore.py
+++ b/tests/adapter/test_restore.py
@@ -3,12 +3,18 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import pytest
+
 from tests.adapter.restored import WATCH_INTERVAL_S, RestoredFleet, cut_off
 
 CALLS_PER_S = 12.0
+BUSY_CALLS_PER_S = 80.0
 DRAIN_S = 2.0
 """Time from the notice that a target is leaving until it may get no more requests."""
 
+KNOWN_S = 1.5
+"""Time in which a removal is known at all entries; the drain timeout less a request's way."""
+
 REREGISTRATION_S = 1.9
 REGISTRATION_S = 5.0
 LOST_WRITES = 9
@@ -98,6 +104,43 @@
     run_scenario(scenario)
 
 
+async def remove_after_restore(fleet: RestoredFleet, restores: int) -> None:
+    """Restore the store without a loss, and then remove a target that serves on."""
+    leaving = fleet.limited[0]
+    await fleet.call_for(1.0, CALLS_PER_S)
+    for _ in range(restores):
+        await restore(fleet, 0)
+        await fleet.call_for(REREGISTRATION_S, CALLS_PER_S)
+    fleet.store.put("servers", leaving.name, None)
+    removed_at = asyncio.get_running_loop().time()
+    await fleet.call_for(DRAIN_S + 0.5, BUSY_CALLS_PER_S)
+    late = leaving.count(removed_at + DRAIN_S, removed_at + 10.0)
+    last = max(leaving.arrived) - removed_at
+    assert (late, last < KNOWN_S) == (0, True), f"{late} late requests, the last after {last:.2f} s"
+
+
+@pytest.mark.parametrize("restores", [1, 2])
+def test_a_target_that_leaves_after_a_restore_without_changed_rows_is_left_at_once(
+    restores: int,
+) -> None:
+    """Guards against retaining it as one that the restored copy lacks."""
+
+    async def scenario(fleet: RestoredFleet) -> None:
+        await remove_after_restore(fleet, restores)
+
+    run_scenario(scenario)
+
+
+def test_an_entry_that_learns_of_such_a_restore_from_others_leaves_the_target_too() -> None:
+    """It reaches no store, and hears only the entries of its failure domain."""
+
+    async def scenario(fleet: RestoredFleet) -> None:
+        cut_off(fleet.processes[0])
+        await remove_after_restore(fleet, 1)
+
+    run_scenario(scenario)
+
+
 def test_targets_that_the_restored_copy_lacks_are_used_until_they_register_again() -> None:
     """They write their rows up to two seconds after the store is back."""
 
--- a/tests/following/test_follower.py
+++ b/tests/following/test_follower.py
@@ -9,7 +9,7 @@
 from cactusvane.errors import PlatformUnavailableError
 from cactusvane.fleet.vm import Address
 from cactusvane.following import follower as module
-from cactusvane.following.follower import FollowSettings, TableFollower
+from cactusvane.following.follower import FollowSettings, TableChange, TableFollower
 from cactusvane.following.readers import TAKEOVER_INTERVAL_MS, ReaderCandidate, is_reader
 from cactusvane.following.source import HistoryLostError
 from cactusvane.following.table import TablePosition, TableRow, TableRows
@@ -84,6 +84,30 @@
     assert calls == ["whole", "after 5", "whole", "after 5"]
 
 
+@pytest.mark.parametrize("source", ["platform", "entry"])
+def test_a_restore_is_reported_once_whether_rows_changed_or_not(source: str) -> None:
+    """Guards against taking a later removal for the first list after the restore."""
+    changes: list[TableChange] = []
+    follower = make_follower(ScriptedSource())
+    follower.on_change = changes.append
+    same = TableRows(5, ALL.rows, whole=True, era=1)
+    removed = TableRows(6, (TableRow("a", None, 6),), whole=False, era=1, after=5)
+    both = TableRows(7, (), whole=True, era=2)
+    for read in (ALL, same, same, removed, both, both):
+        follower.apply(read, source)
+    expected = [(("a",), False), ((), True), (("a",), False), ((), True)]
+    assert changes == [TableChange(*each) for each in expected]
+
+
+def test_a_restore_and_a_removal_in_the_same_read_are_one_change() -> None:
+    changes: list[TableChange] = []
+    follower = make_follower(ScriptedSource())
+    follower.on_change = changes.append
+    follower.apply(ALL, "platform")
+    follower.apply(TableRows(7, (), whole=True, era=1), "platform")
+    assert changes[1:] == [TableChange(("a",), restored=True)]
+
+
 def test_an_outage_is_detected_and_recovered_from() -> None:
     down = PlatformUnavailableError("down")
     follower, calls = follow(ALL, down, down)
