A stopping entry sends no request that it may have to cut off

Shown here with bodies that end late: a booking with a deadline of 1.5 s, whole 0.9 s after the signal where the drain ends after 2.1 s, ran and got a reset.

Cause: nothing asked, before a request was passed on, whether it can still be answered in time; first attempts, retries and requests in the queue alike. Ruled out: the balancer sending on (the connections were kept ones), slow targets (0.4 s of work, 1.2 s left).

Ways weighed: (a) reject whatever has a deadline past the end, (b) reject by the usual latency, (c) wait longer. (c) is not ours, the grace is the platform's. (b) alone cuts the slow ones, and what is not idempotent has then perhaps run; (a) alone rejects every read with a long deadline from the signal on, though nearly all would end in time, and callers that do not return would lose them. So: what may not be repeated needs its whole deadline always; a read that comes before the drain, when callers still come in numbers, needs three times its expected latency; in the drain, where only late bodies come, a read needs its whole deadline too. The rejection is true (503, not run, Retry-After 0): other VMs serve. The same question is asked before each attempt and ten times a second of those that wait for a target. At the end of the drain nothing is reset in silence: what was at a target gets 502 and may-have-run, what waited or is half read 503 and not-run; an answer half written is still reset, which is what shows that it is not whole.

--- a/cactusvane/daemon.py
+++ b/cactusvane/daemon.py
@@ -254,9 +254,9 @@
         """Finish the requests in flight and close."""
         events.write(Event.DAEMON_DRAINING, vm=self.settings.vm)
         self.server.leave()
-        self.entry.stopping = True
+        self.entry.begin_stop(self.settings.leaving_ms, self.settings.drain_ms)
         await asyncio.sleep(self.settings.leaving_ms / MS_PER_SECOND)
-        await self.server.drain(self.settings.drain_ms)
+        await self.server.drain(self.settings.drain_ms, self.entry.cut_off)
         await self.claims.drain(CLAIMS_DRAIN_TIMEOUT_MS)
         for task in self.tasks:
             task.cancel()
--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from functools import cached_property, partial
 from typing import TYPE_CHECKING, Protocol
 
@@ -51,6 +51,9 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses by which callers may conclude that a request has not run."""
 
+STOPPING_RETRY_AFTER_MS = 0.0
+"""Delay after which a caller may repeat a request that came too late in a stop: other VMs serve."""
+
 RAN_HEADER = (VERDICT_HEADER, Verdict.RAN.value.encode())
 
 
@@ -72,6 +75,12 @@
     return min(match.route.deadline_ms, int(text))
 
 
+def expire(timeout: asyncio.Timeout) -> None:
+    """Let a timeout that is being waited on expire now."""
+    if not timeout.expired():
+        timeout.reschedule(asyncio.get_running_loop().time())
+
+
 class Lease(Protocol):
     """Time-limited permission to send a request."""
 
@@ -142,6 +151,9 @@
         self.last_attempt: AttemptLog | None = None
         self.response: Response | None = None
         self.ticket: Ticket | None = None
+        self.waiting: asyncio.Timeout | None = None
+        self.sending: asyncio.Timeout | None = None
+        self.was_cut_off = False
 
     async def run(self) -> Response:
         """Send the request, with retries, and return the response for the caller.
@@ -152,11 +164,13 @@
             No response may be forwarded.
         """
         command = self.attempts.first(self.started_at)
+        self.entry.dispatches.add(self)
         try:
             while isinstance(command, SendAttempt):
                 result = await self.attempt(command)
                 command = self.attempts.after_attempt(result, self.clock.now())
         finally:
+            self.entry.dispatches.discard(self)
             if not self.streams:
                 self.withdraw()
         match command:
@@ -198,9 +212,13 @@
 
     async def attempt(self, command: SendAttempt) -> AttemptResult:
         """Make one attempt and report its result to admission control."""
+        if self.is_late:
+            return self.late_rejection()
         if self.may_crash_targets():
             return self.crash_rejection()
         address = await self.choose_target()
+        if self.is_late:
+            return self.late_rejection()
         if address is None:
             return self.rejection_result()
         if self.may_crash_targets():
@@ -309,10 +327,51 @@
         if self.ticket is None:
             self.ticket = self.admission.open(self.profile, self.tried)
         since = self.clock.now()
-        address = await self.admission.wait(self.ticket)
+        address = None
+        with suppress(TimeoutError):
+            async with asyncio.timeout(None) as self.waiting:
+                address = await self.admission.wait(self.ticket)
+        self.waiting = None
         self.waited_ms += self.clock.now() - since
         return address
 
+    @property
+    def is_late(self) -> bool:
+        """Whether the VM is stopping and the request would not end before the stop does."""
+        schedule = self.entry.stop_schedule
+        if schedule is None:
+            return False
+        expected = self.attempts.expected_latency_ms
+        return self.was_cut_off or not schedule.has_time(self.profile, expected, self.clock.now())
+
+    def late_rejection(self) -> NoTarget:
+        """Return the result for a request that is late, and withdraw the ticket."""
+        self.withdraw()
+        schedule, now = self.entry.stop_schedule, self.clock.now()
+        assert schedule is not None
+        events.write(
+            Event.REQUEST_LATE,
+            request=self.request_id,
+            left_ms=round(schedule.ends_at - now),
+            deadline_ms=round(self.attempts.deadline - now),
+            expected_ms=self.attempts.expected_latency_ms,
+            idempotent=self.route.idempotent,
+            number=len(self.tried),
+        )
+        return NoTarget("stopping", STOPPING_RETRY_AFTER_MS)
+
+    def reject_if_late(self) -> None:
+        """Stop waiting for a target if the request is late."""
+        if self.waiting is not None and self.is_late:
+            expire(self.waiting)
+
+    def cut_off(self) -> None:
+        """End the wait or the attempt; the response says whether the request may have run."""
+        self.was_cut_off = True
+        for timeout in (self.waiting, self.sending):
+            if timeout is not None:
+                expire(timeout)
+
     def may_crash_targets(self) -> bool:
         """Return whether the request has ended so many targets that it gets no other one."""
         crashes = self.entry.crashes
@@ -364,8 +423,8 @@
         connection: ClientConnection | None = None
         started = self.clock.now()
         try:
-            async with asyncio.timeout(command.remaining_ms / MS_PER_SECOND) as timeout:
-                with self.early_timeout(command, timeout):
+            async with asyncio.timeout(command.remaining_ms / MS_PER_SECOND) as self.sending:
+                with self.early_timeout(command, self.sending):
                     connection = await self.connect(address)
                     self.idle_ms = connection.idle_ms
                     if self.lease and not self.lease.may_send(self.clock.now()):
@@ -386,12 +445,20 @@
             connection.close()
             return self.broken_result(address, connection, error)
         except TimeoutError:
-            text = f"{address}: no response in time"
-            if connection is None:
-                return AttemptFailed(Outcome.UNREACHABLE, Verdict.NOT_RUN, text)
-            return AttemptFailed(Outcome.TIMED_OUT, Verdict.MAY_HAVE_RUN, text)
+            return self.timeout_result(address, connection is not None)
+        finally:
+            self.sending = None
         return await self.handle_response(address, response, started)
 
+    def timeout_result(self, address: Address, connected: bool) -> AttemptFailed:
+        """Return the result for an attempt that ran into its timeout or was cut off."""
+        verdict = Verdict.MAY_HAVE_RUN if connected else Verdict.NOT_RUN
+        if self.was_cut_off:
+            text = f"{address}: no response before this VM stopped"
+            return AttemptFailed(Outcome.CANCELLED, verdict, text)
+        outcome = Outcome.TIMED_OUT if connected else Outcome.UNREACHABLE
+        return AttemptFailed(outcome, verdict, f"{address}: no response in time")
+
     @property
     def reuses_connections(self) -> bool:
         """Whether connections to targets may be reused for this request."""
@@ -453,7 +520,7 @@
         ):
             return
         if self.attempts.reserve_retry(self.clock.now()):
-            timeout.reschedule(asyncio.get_running_loop().time())
+            expire(timeout)
 
     def outgoing_request(self, remaining_ms: float) -> Request:
         """Return the request to send to a target, with the remaining time until its deadline."""
--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -24,6 +24,7 @@
 from cactusvane.request.admission import Placer
 from cactusvane.request.budget import RetryLimiter
 from cactusvane.request.crashes import CrashRecord
+from cactusvane.request.stopping import StopSchedule
 from cactusvane.settings import Settings
 from cactusvane.verdict import Verdict
 
@@ -64,8 +65,10 @@
         Idle connections to targets.
     crashes
         Requests that may crash targets.
-    stopping
-        Whether the process is stopping and finishes requests in flight.
+    stop_schedule
+        Times of the planned stop that has begun; None while the process is not stopping.
+    dispatches
+        Requests that wait for a target or are at one.
     """
 
     def __init__(
@@ -90,7 +93,8 @@
         self.keyed_handler: KeyedHandler | None = None
         self.ledger = Ledger(settings.vm)
         self.configured = False
-        self.stopping = False
+        self.stop_schedule: StopSchedule | None = None
+        self.dispatches: set[Dispatch] = set()
         self.version = 0
         self.routing_table = RoutingTable(Configuration())
         self.rules = build_rule_table(())
@@ -112,8 +116,38 @@
         self.idle_connections.retain({vm.address for vm in vms if vm.state is VmState.LIVE})
         self.placer.update_vms(group_by_service(vms))
 
+    @property
+    def stopping(self) -> bool:
+        """Whether the process is stopping and finishes requests in flight."""
+        return self.stop_schedule is not None
+
+    def begin_stop(self, leaving_ms: float, drain_ms: float) -> None:
+        """Begin a planned stop.
+
+        Parameters
+        ----------
+        leaving_ms
+            Time in milliseconds until the listener is closed.
+        drain_ms
+            Time from then until the requests in flight are cut off, in milliseconds.
+        """
+        drains_at = self.clock.now() + leaving_ms
+        self.stop_schedule = StopSchedule(drains_at, drains_at + drain_ms)
+
+    def cut_off(self) -> None:
+        """End all requests; each gets a response that says whether it may have run."""
+        for dispatch in tuple(self.dispatches):
+            dispatch.cut_off()
+
+    def reject_late(self) -> None:
+        """Reject the waiting requests that a stop leaves no time for."""
+        for dispatch in tuple(self.dispatches):
+            dispatch.reject_if_late()
+
     def tick(self) -> None:
         """Run periodic work of targets and connections."""
+        if self.stopping:
+            self.reject_late()
         self.placer.tick()
         self.connections.tick()
         self.idle_connections.tick()
--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -177,6 +177,9 @@
     NOTICE_FIELD_UNUSABLE = EventKind(
         1815, logging.WARNING, "{target} sent a field without a meaning: {field}: {value}"
     )
+    REQUEST_LATE = EventKind(
+        1817, logging.INFO, "{request}: not sent, since this VM stops in {left_ms} ms"
+    )
     TARGET_RETAINED = EventKind(
         1816,
         logging.INFO,
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -409,10 +409,10 @@
         """Announce that this VM leaves, complete the requests in flight and close."""
         events.write(Event.DAEMON_DRAINING, vm=self.settings.vm)
         self.server.leave()
-        self.entry.stopping = True
+        self.entry.begin_stop(self.settings.leaving_ms, self.settings.drain_ms)
         self.update_sender.schedule_update(urgent=True)
         await asyncio.sleep(self.settings.leaving_ms / MS_PER_SECOND)
-        await self.server.drain(self.settings.drain_ms)
+        await self.server.drain(self.settings.drain_ms, self.entry.cut_off)
         self.ended = True
         for task in tuple(self.tasks):
             task.cancel()
--- a/cactusvane/http/server.py
+++ b/cactusvane/http/server.py
@@ -24,6 +24,9 @@
 """Time in milliseconds for which input is discarded after a rejection, so that a caller which is
 still sending can read the response."""
 
+LAST_RESPONSES_MS = 100
+"""Time in milliseconds for the last responses of a drain to reach their callers."""
+
 MAX_PIPELINED = 8
 """Maximum number of pipelined requests of one connection that run concurrently."""
 
@@ -69,13 +72,16 @@
         """Make callers reconnect elsewhere: every further response closes its connection."""
         self.leaving = True
 
-    async def drain(self, timeout_ms: float) -> None:
+    async def drain(self, timeout_ms: float, cut_off: Callable[[], None] | None = None) -> None:
         """Accept no new connections, finish the requests in flight, then close.
 
         Parameters
         ----------
         timeout_ms
             Time in milliseconds after which the remaining connections are reset.
+        cut_off
+            Called before that; makes the handler end all requests, so that their callers get a
+            response within `LAST_RESPONSES_MS`.
         """
         self.leaving = True
         self.draining = True
@@ -83,11 +89,24 @@
             listener.close()
         for connection in tuple(self.connections):
             connection.drain()
-        if self.connections:
-            try:
-                await asyncio.wait_for(self.empty.wait(), timeout_ms / MS_PER_SECOND)
-            except TimeoutError:
-                self.abort()
+        if await self.wait_empty(timeout_ms):
+            return
+        if cut_off is not None:
+            cut_off()
+            for connection in tuple(self.connections):
+                connection.reject_unread()
+            await self.wait_empty(LAST_RESPONSES_MS)
+        self.abort()
+
+    async def wait_empty(self, timeout_ms: float) -> bool:
+        """Wait until no connection is left; return whether there is none within `timeout_ms`."""
+        if not self.connections:
+            return True
+        try:
+            await asyncio.wait_for(self.empty.wait(), timeout_ms / MS_PER_SECOND)
+        except TimeoutError:
+            return False
+        return True
 
     def abort(self) -> None:
         """Reset all connections."""
@@ -499,6 +518,11 @@
         """Reject a request whose body does not arrive in time."""
         self.reject(bad_request("slow-body", "the body did not arrive in time", 408))
 
+    def reject_unread(self) -> None:
+        """Reject the request that is being read at the end of a drain, if there is one."""
+        if self.incoming.head is not None or self.head_started:
+            self.reject(bad_request("stopping", "this VM stops", 503))
+
     def drain(self) -> None:
         """Close now if idle; otherwise the connection closes after the current response."""
         idle = not self.exchanges and self.incoming.head is None and not self.head_started
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -43,12 +43,19 @@
         self.heads: list[str] = []
         self.address = ANY
         self.gone = asyncio.Event()
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    def break_off(self) -> None:
+        """Close all connections without a response."""
+        for writer in self.writers:
+            writer.close()
 
     async def start(self) -> None:
         server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.address = Address(*server.sockets[0].getsockname())
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
         try:
             head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
             self.heads.append(head)
@@ -56,6 +63,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def respond(self, head: str, reader: asyncio.StreamReader) -> bytes:
