What all exchanges hold of bodies is bounded by one budget

Each exchange had its bound, nothing bounded their sum, and each body stood several times in memory: as parts, joined, behind its head, as what was not sent yet, and once more in the response object while it was streamed.

Ways weighed: a bound on exchanges (rejects sound ones), smaller buffers for all (each response then costs more turns), a budget from the settings. Now one budget for responses and one for uploads. While that of responses is exhausted, each exchange may hold 16 KB and the kernel's flow control holds the rest, so that everyone makes progress, whoever holds the rest of it. A body that announces, or reaches, more than there is room for is rejected at once, as not run, with Retry-After; bodies up to 16 KB always have room. A body is kept once: it is sent from where it was received. Callers are read 16 KB at a time. On the way: a streamed response behind a cancelled one was never closed.

--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -98,6 +98,12 @@
         logging.WARNING,
         "no other VM was heard that could have a newer configuration than version {version}",
     )
+    BODIES_TOO_LARGE = EventKind(
+        1608,
+        logging.WARNING,
+        "configuration version {version} allows bodies of {body_bytes} bytes; "
+        "this VM has {memory_bytes} bytes for all of them",
+    )
     TABLE_LOST = EventKind(
         1701, logging.WARNING, "{table}: the platform does not respond: {reason}"
     )
--- a/cactusvane/exposition.py
+++ b/cactusvane/exposition.py
@@ -9,6 +9,7 @@
 from prometheus_client.exposition import generate_latest
 from prometheus_client.registry import Collector, CollectorRegistry
 
+from cactusvane.http.memory import Budgets
 from cactusvane.metrics import US_PER_MS, Recorder
 
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
@@ -73,7 +74,22 @@
         "Requests that may have crashed targets and get no retry, or are rejected",
         value=recorder.isolated_requests,
     )
-    return [*counters, target_counts(recorder), isolated, *summaries(recorder)]
+    memory = memory_families(recorder.budgets)
+    return [*counters, target_counts(recorder), isolated, *memory, *summaries(recorder)]
+
+
+def memory_families(budgets: Budgets) -> Families:
+    """Return what exchanges hold of the memory, by purpose, and how often it was not enough."""
+    held = GaugeMetricFamily(
+        "cactusvane_held_bytes", "Bytes of bodies that exchanges hold", labels=("purpose",)
+    )
+    short = CounterMetricFamily(
+        "cactusvane_memory_short", "Times that bodies had no more memory", labels=("purpose",)
+    )
+    for purpose, budget in (("responses", budgets.responses), ("uploads", budgets.uploads)):
+        held.add_metric((purpose,), budget.held)
+        short.add_metric((purpose,), budget.times_short)
+    return [held, short]
 
 
 def target_counts(recorder: Recorder) -> GaugeMetricFamily:
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -45,6 +45,7 @@
 from cactusvane.http.check import bad_request
 from cactusvane.http.connection import FreshConnections
 from cactusvane.http.exchange import Caller
+from cactusvane.http.memory import budgets_for
 from cactusvane.http.message import Request, Response
 from cactusvane.http.server import Server
 from cactusvane.metrics import Recorder
@@ -98,6 +99,7 @@
         self.clock = Clock()
         self.random = Random(f"{settings.vm}/{self.clock.wall()}")
         self.recorder = Recorder()
+        self.budgets = self.recorder.budgets = budgets_for(settings.memory_mb)
         started = int(self.clock.wall())
         self.domain = Domain(
             settings.vm,
@@ -118,7 +120,9 @@
             self.random,
             self.recorder,
             self.placer,
-            FreshConnections(settings.http, self.clock, default_max_spares=0),
+            FreshConnections(
+                settings.http, self.clock, default_max_spares=0, budget=self.budgets.responses
+            ),
             platform.header_names,
         )
         self.entry.crashes = self.domain.crashes
@@ -159,9 +163,9 @@
             confirmed=fleet.follow.startup_spread_ms > 0.0,
         )
         self.lapsed = LapsedTargets(fleet.max_retention_ms(settings.http.connect_ms))
-        self.server = Server(settings.http, self.entry.handle)
-        self.admin = Server(settings.http, self.handle_admin_request)
-        self.peer_server = Server(settings.http, self.handle_peer_request)
+        self.server = Server(settings.http, self.entry.handle, self.budgets)
+        self.admin = Server(settings.http, self.handle_admin_request, self.budgets)
+        self.peer_server = Server(settings.http, self.handle_peer_request, self.budgets)
         self.configuration_rows: dict[str, bytes] = {}
         self.listed: tuple[Vm, ...] = ()
         self.stopping = asyncio.Event()
@@ -316,9 +320,20 @@
         self.newest.activated(found.version)
         self.entry.configure(found.configuration)
         self.server.limits = found.limits
+        self.check_memory(found)
         events.write(Event.CONFIGURATION_ADOPTED, version=found.version)
         self.log_ready()
 
+    def check_memory(self, found: VersionedConfiguration) -> None:
+        """Log that the configuration allows larger bodies than this VM has memory for."""
+        if found.limits.body_bytes > self.budgets.uploads.limit:
+            events.write(
+                Event.BODIES_TOO_LARGE,
+                version=found.version,
+                body_bytes=found.limits.body_bytes,
+                memory_bytes=round(self.budgets.uploads.limit),
+            )
+
     def targets_changed(self, change: TableChange) -> None:
         """Apply the table's targets; after a restore, check this VM's registration too."""
         if change.restored:
--- a/cactusvane/http/body.py
+++ b/cactusvane/http/body.py
@@ -1,10 +1,13 @@
 """Response bodies that are too large to buffer, read from a target as a stream."""
 
 import asyncio
-from collections import deque
 from typing import Protocol
 
 from cactusvane.errors import BrokenResponseError
+from cactusvane.http.memory import Holding
+
+PART_BYTES = 65_536
+"""Maximum size of a part that is delivered."""
 
 
 class Pausable(Protocol):
@@ -31,22 +34,24 @@
         The connection that the response arrives on.
     limit
         Number of buffered bytes above which reading from the connection is paused.
+    holding
+        Counts the buffered bytes against the budget of the process.
     """
 
-    def __init__(self, connection: Pausable, limit: int) -> None:
+    def __init__(self, connection: Pausable, limit: int, holding: Holding) -> None:
         self.connection = connection
         self.limit = limit
-        self.parts: deque[bytes] = deque()
-        self.size = 0
+        self.holding = holding
+        self.buffer = bytearray()
         self.ended = False
         self.error: BrokenResponseError | None = None
         self.changed = asyncio.Event()
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | bytearray) -> None:
         """Buffer `data` received by the connection."""
-        self.parts.append(data)
-        self.size += len(data)
-        if self.size > self.limit:
+        self.buffer += data
+        self.holding.set(len(self.buffer))
+        if len(self.buffer) > self.limit:
             self.connection.pause()
         self.changed.set()
 
@@ -60,20 +65,27 @@
         return self
 
     async def __anext__(self) -> bytes:
-        while not self.parts:
+        while not self.buffer:
             if self.error:
                 raise self.error
             if self.ended:
                 raise StopAsyncIteration
             self.changed.clear()
             await self.changed.wait()
-        part = self.parts.popleft()
-        self.size -= len(part)
-        if self.size <= self.limit:
+        part = bytes(self.buffer[:PART_BYTES])
+        del self.buffer[:PART_BYTES]
+        self.holding.set(len(self.buffer))
+        if len(self.buffer) <= self.limit:
             self.connection.resume()
         return part
 
+    def discard(self) -> None:
+        """Release what is buffered."""
+        self.buffer.clear()
+        self.holding.release()
+
     async def aclose(self) -> None:
         """Close the connection unless the complete response has been received."""
+        self.discard()
         if not self.ended:
             self.connection.close()
--- a/cactusvane/http/client.py
+++ b/cactusvane/http/client.py
@@ -8,6 +8,7 @@
 from cactusvane.errors import BrokenResponseError, ConnectError
 from cactusvane.http.body import ResponseStream
 from cactusvane.http.check import has_bare_line_feed
+from cactusvane.http.memory import SMALL_BYTES, ByteBudget
 from cactusvane.http.message import Request, Response, find_header
 from cactusvane.settings import HttpLimits
 
@@ -15,6 +16,8 @@
 """Maximum number of 1xx responses accepted in one exchange."""
 
 READ_BYTES = 65_536
+WRITE_BYTES = 262_144
+"""Maximum number of bytes of one read from, or write to, a target."""
 
 BODILESS_STATUSES = frozenset({204, 304})
 """Statuses whose responses have no body."""
@@ -32,6 +35,8 @@
         A connected, non-blocking socket.
     limits
         Limits on the size of a response head and on the buffered part of its body.
+    budget
+        Limit on what all connections hold of responses; None for no limit.
 
     Attributes
     ----------
@@ -47,8 +52,12 @@
         Whether any byte was received in the current exchange.
     """
 
-    def __init__(self, sock: socket.socket, limits: HttpLimits) -> None:
+    def __init__(
+        self, sock: socket.socket, limits: HttpLimits, budget: ByteBudget | None = None
+    ) -> None:
         self.sock = sock
+        self.budget = budget or ByteBudget()
+        self.holding = self.budget.open()
         self.limits = limits
         self.loop = asyncio.get_running_loop()
         self.parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=limits.head_bytes)
@@ -58,13 +67,12 @@
         self.idle_ms = 0.0
         self.request_ids: set[bytes] = set()
         self.received_any = False
-        self.unsent = b""
+        self.unsent = self.unsent_body = memoryview(b"")
         self.response_future: asyncio.Future[Response] | None = None
         self.method = ""
         self.interim_count = 0
         self.head: h11.Response | None = None
-        self.parts: list[bytes] = []
-        self.buffered_bytes = 0
+        self.body = bytearray()
         self.stream: ResponseStream | None = None
 
     @property
@@ -108,8 +116,7 @@
         if self.closed or self.parser.our_state is not h11.IDLE:
             raise ConnectError("the connection is closed")
         self.begin(request.method, keep_alive)
-        data = self.encode(request)
-        self.send_first(data)
+        self.send_first(self.encode(request), request.body)
         self.response_future = self.loop.create_future()
         self.resume()
         try:
@@ -125,56 +132,64 @@
         self.received_any = False
         self.interim_count = 0
         self.head = None
-        self.parts = []
-        self.buffered_bytes = 0
+        self.body = bytearray()
 
-    def send_first(self, data: bytes) -> None:
+    def send_first(self, head: bytes, body: bytes | bytearray) -> None:
         """Write the start of a request; a failure proves that nothing was sent.
 
+        A large body is not copied.
+
         Raises
         ------
         ConnectError
             The write failed; nothing was sent.
         """
+        first = head + body[:SMALL_BYTES]
         try:
-            sent = self.sock.send(data)
+            sent = self.sock.send(first)
         except BlockingIOError:
             sent = 0
         except OSError as error:
             self.close()
             raise ConnectError(f"nothing could be sent: {error}") from error
-        if sent < len(data):
-            self.unsent = data[sent:]
+        self.unsent = memoryview(first)[sent:]
+        self.unsent_body = memoryview(body)[SMALL_BYTES:]
+        if self.unsent or self.unsent_body:
             self.loop.add_writer(self.sock.fileno(), self.send_rest)
 
     def send_rest(self) -> None:
         """Write as much of the remaining request as the socket accepts."""
+        if not self.unsent:
+            self.unsent, self.unsent_body = self.unsent_body, memoryview(b"")
         try:
-            sent = self.sock.send(self.unsent)
+            sent = self.sock.send(self.unsent[:WRITE_BYTES])
         except BlockingIOError:
             return
         except OSError as error:
             self.fail(f"the request could not be sent completely: {error}")
             return
         self.unsent = self.unsent[sent:]
-        if not self.unsent:
+        if not self.unsent and not self.unsent_body:
             self.loop.remove_writer(self.sock.fileno())
 
     def encode(self, request: Request) -> bytes:
-        """Return `request` as bytes, framed by ``Content-Length``."""
+        """Return the head of `request`, which frames the body by ``Content-Length``."""
         headers = [*request.headers]
         if request.body or request.method in {"POST", "PUT", "PATCH"}:
             headers.append((b"content-length", b"%d" % len(request.body)))
         head = h11.Request(method=request.method, target=request.target, headers=headers)
         data = self.parser.send(head) or b""
         if request.body:
-            data += self.parser.send(h11.Data(data=request.body)) or b""
-        return data + (self.parser.send(h11.EndOfMessage()) or b"")
+            self.parser.send_with_data_passthrough(h11.Data(data=request.body))  # type: ignore[arg-type]
+        self.parser.send(h11.EndOfMessage())
+        return data
 
     def receive(self) -> None:
-        """Read and parse what the target sent."""
+        """Read and parse what the target sent, unless too much is held already."""
+        if not self.may_read():
+            return
         try:
-            data = self.sock.recv(READ_BYTES)
+            data = self.sock.recv(self.read_bytes)
         except BlockingIOError:
             return
         except OSError as error:
@@ -185,6 +200,22 @@
         if not data:
             self.fail("the connection closed before the response was complete")
 
+    @property
+    def read_bytes(self) -> int:
+        """Maximum number of bytes of the next read."""
+        return SMALL_BYTES if self.budget.is_exhausted else READ_BYTES
+
+    def may_read(self) -> bool:
+        """Return whether more may be read; else stream what is buffered, or pause reading."""
+        if self.stream is None and self.head is not None and not self.holding.may_grow:
+            self.begin_stream()
+        holding = self.stream.holding if self.stream else self.holding
+        if holding.may_grow:
+            return True
+        self.pause()
+        self.budget.wait(self.resume)
+        return False
+
     def parse(self, data: bytes) -> None:
         """Feed `data` to the parser and handle the resulting events."""
         try:
@@ -212,7 +243,7 @@
             case h11.Response():
                 return self.handle_head(event)
             case h11.Data():
-                return self.handle_data(bytes(event.data))
+                return self.handle_data(event.data)
             case h11.EndOfMessage():
                 self.finish()
                 return False
@@ -252,20 +283,22 @@
         self.head = head
         return True
 
-    def handle_data(self, data: bytes) -> bool:
+    def handle_data(self, data: bytes | bytearray) -> bool:
         """Buffer a part of the body, or stream it if the body is too large to buffer."""
         if self.stream:
             self.stream.feed(data)
             return True
-        self.parts.append(data)
-        self.buffered_bytes += len(data)
-        if self.buffered_bytes > self.limits.buffer_bytes:
+        self.body += data
+        self.holding.set(len(self.body))
+        if len(self.body) > self.limits.buffer_bytes:
             self.begin_stream()
         return True
 
     def begin_stream(self) -> None:
-        """Deliver the buffered part of the response and stream the rest as it arrives."""
-        self.stream = ResponseStream(self, self.limits.buffer_bytes)
+        """Deliver the response with a stream of its body: what is buffered and what arrives."""
+        self.stream = ResponseStream(self, self.limits.buffer_bytes, self.budget.open())
+        buffered, self.body = self.body, bytearray()
+        self.stream.feed(buffered)
         self.deliver(self.stream)
 
     def deliver(self, stream: ResponseStream | None) -> None:
@@ -277,11 +310,13 @@
             return
         headers = list(head.headers)
         length = find_header(headers, b"content-length")
+        body, self.body = bytes(self.body), bytearray()
+        self.holding.release()
         response_future.set_result(
             Response(
                 status=head.status_code,
                 headers=headers,
-                body=b"".join(self.parts),
+                body=body,
                 rest=stream,
                 length=int(length) if length is not None else None,
             )
@@ -307,7 +342,9 @@
         The response must have had a ``Content-Length`` and no bytes after it, the request must
         have been sent completely, and neither side may have asked to close.
         """
-        if not self.keep_alive or self.head is None or self.unsent or self.stream is not None:
+        if not self.keep_alive or self.head is None or self.stream is not None:
+            return False
+        if self.unsent or self.unsent_body:
             return False
         announced = find_header(list(self.head.headers), b"content-length") is not None
         surplus, closed = self.parser.trailing_data
@@ -344,4 +381,7 @@
         self.pause()
         self.loop.remove_writer(self.sock.fileno())
         self.closed = True
+        self.unsent = self.unsent_body = memoryview(b"")
+        self.holding.release()
+        self.budget.forget(self.resume)
         self.sock.close()
--- a/cactusvane/http/connect.py
+++ b/cactusvane/http/connect.py
@@ -8,6 +8,7 @@
 from cactusvane.errors import ConnectError
 from cactusvane.fleet.vm import Address
 from cactusvane.http.client import ClientConnection
+from cactusvane.http.memory import ByteBudget
 from cactusvane.settings import HttpLimits
 
 
@@ -48,7 +49,9 @@
         raise ConnectError(f"{address}: {os.strerror(code)}")
 
 
-async def connect(address: Address, limits: HttpLimits) -> ClientConnection:
+async def connect(
+    address: Address, limits: HttpLimits, budget: ByteBudget | None = None
+) -> ClientConnection:
     """Open a connection to `address`.
 
     Raises
@@ -68,7 +71,7 @@
         raise
     loop.remove_writer(sock.fileno())
     check_connected(sock, address)
-    return ClientConnection(sock, limits)
+    return ClientConnection(sock, limits, budget)
 
 
 def set_once(future: "asyncio.Future[None]") -> None:
--- a/cactusvane/http/connection.py
+++ b/cactusvane/http/connection.py
@@ -16,6 +16,7 @@
 from cactusvane.fleet.vm import Address
 from cactusvane.http.client import ClientConnection
 from cactusvane.http.connect import check_connected, connect, start_connecting
+from cactusvane.http.memory import ByteBudget
 from cactusvane.settings import HttpLimits
 
 MAX_SPARES = 4
@@ -103,6 +104,8 @@
         Clock of the process.
     default_max_spares
         Maximum number of spares for a target that is not in `max_spares`.
+    budget
+        Limit on what all connections hold of responses; None for no limit.
 
     Attributes
     ----------
@@ -111,11 +114,16 @@
     """
 
     def __init__(
-        self, limits: HttpLimits, clock: Clock, default_max_spares: int = MAX_SPARES
+        self,
+        limits: HttpLimits,
+        clock: Clock,
+        default_max_spares: int = MAX_SPARES,
+        budget: ByteBudget | None = None,
     ) -> None:
         self.limits = limits
         self.clock = clock
         self.default_max_spares = default_max_spares
+        self.budget = budget
         self.targets: dict[Address, TargetSpares] = {}
         self.max_spares: dict[Address, int] = {}
 
@@ -170,7 +178,7 @@
         connect_ms = self.limits.connect_ms
         try:
             async with asyncio.timeout(connect_ms / MS_PER_SECOND):
-                return await connect(target, self.limits)
+                return await connect(target, self.limits, self.budget)
         except TimeoutError as error:
             raise ConnectError(f"{target}: no connection within {connect_ms} ms") from error
 
@@ -208,7 +216,9 @@
             check_connected(sock, target)
         except ConnectError:
             return
-        state.spares.append(Spare(ClientConnection(sock, self.limits), self.clock.now()))
+        state.spares.append(
+            Spare(ClientConnection(sock, self.limits, self.budget), self.clock.now())
+        )
 
     def abort_connecting(self, state: TargetSpares, started_before: float) -> None:
         """Close sockets that have been connecting since before `started_before`."""
--- a/cactusvane/http/exchange.py
+++ b/cactusvane/http/exchange.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from cactusvane.http.memory import ByteBudget
 from cactusvane.http.message import Request, Response
 
 PIPELINED_METHODS = frozenset({b"GET", b"HEAD"})
@@ -46,19 +47,26 @@
         The parser that reads the request.
     caller
         Notifies the handler when the caller is gone.
+    uploads
+        Limit on what all requests hold of their bodies.
 
     Attributes
     ----------
+    upload
+        What the request holds of that limit.
+    response_bytes
+        Size of a response that waits for the responses to earlier requests.
     may_respond
         Completed when the responses to all earlier requests of the connection are written.
     """
 
-    def __init__(self, parser: h11.Connection, caller: Caller) -> None:
+    def __init__(self, parser: h11.Connection, caller: Caller, uploads: ByteBudget) -> None:
         self.parser = parser
         self.caller = caller
         self.head: h11.Request | None = None
-        self.parts: list[bytes] = []
-        self.body_size = 0
+        self.body = bytearray()
+        self.upload = uploads.open()
+        self.response_bytes = 0
         self.task: asyncio.Task[None] | None = None
         self.may_respond: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
@@ -93,7 +101,7 @@
             method=head.method.decode("ascii"),
             target=head.target.decode("ascii"),
             headers=list(head.headers),
-            body=b"".join(self.parts),
+            body=self.body,
         )
 
     def encode_head(self, response: Response, close: bool) -> bytes:
--- /dev/null
+++ b/cactusvane/http/memory.py
@@ -0,0 +1,149 @@
+"""Bounds on the bytes that all exchanges of a process hold together.
+
+A bound for each exchange alone does not bound their sum. `ByteBudget` counts what all of them hold.
+While it is exhausted, connections read on only what they need to make progress, so that the
+kernel's flow control holds the rest, and large uploads are rejected.
+
+Performs no I/O.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import inf
+
+MEGABYTE = 1_000_000
+
+SMALL_BYTES = 16_384
+"""What each exchange may hold whatever the others hold, so that it makes progress."""
+
+RESPONSE_SHARE = 0.2
+"""Share of the memory for responses between targets and callers."""
+
+UPLOAD_SHARE = 0.33
+"""Share of the memory for the bodies of requests, which are buffered completely."""
+
+
+class ByteBudget:
+    """Number of bytes that the exchanges of a process may hold for one purpose.
+
+    Parameters
+    ----------
+    limit
+        Number of bytes above which it counts as exhausted.
+
+    Attributes
+    ----------
+    held
+        Number of bytes that are held.
+    times_short
+        How often it became exhausted.
+
+    Examples
+    --------
+    >>> budget = ByteBudget(100_000)
+    >>> upload = budget.open()
+    >>> upload.take(90_000), budget.open().take(90_000), budget.open().take(10_000)
+    (True, False, True)
+    >>> upload.release()
+    >>> budget.held
+    10000
+    """
+
+    def __init__(self, limit: float = inf) -> None:
+        self.limit = limit
+        self.held = 0
+        self.times_short = 0
+        self.waiting: dict[Callable[[], None], None] = {}
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether exchanges should hold no more than `SMALL_BYTES` each."""
+        return self.held >= self.limit
+
+    def open(self) -> "Holding":
+        """Return the account of a new exchange."""
+        return Holding(self)
+
+    def change(self, difference: int) -> None:
+        """Add to the bytes that are held; wake those that wait for bytes to be released."""
+        was_exhausted = self.is_exhausted
+        self.held += difference
+        if self.is_exhausted and not was_exhausted:
+            self.times_short += 1
+        if self.waiting and not self.is_exhausted:
+            waiting, self.waiting = self.waiting, {}
+            for resume in waiting:
+                resume()
+
+    def wait(self, resume: Callable[[], None]) -> None:
+        """Call `resume` once the budget is no longer exhausted."""
+        self.waiting[resume] = None
+
+    def forget(self, resume: Callable[[], None]) -> None:
+        """Do not call `resume` any more."""
+        self.waiting.pop(resume, None)
+
+
+class Holding:
+    """What one exchange holds of a budget.
+
+    Parameters
+    ----------
+    budget
+        The budget that it counts against.
+    """
+
+    def __init__(self, budget: ByteBudget) -> None:
+        self.budget = budget
+        self.size = 0
+
+    @property
+    def may_grow(self) -> bool:
+        """Whether the exchange may hold more than it does."""
+        return self.size < SMALL_BYTES or not self.budget.is_exhausted
+
+    def set(self, size: int) -> None:
+        """Set the number of bytes that the exchange holds."""
+        difference, self.size = size - self.size, size
+        if difference:
+            self.budget.change(difference)
+
+    def take(self, size: int) -> bool:
+        """Set the number of bytes if the budget allows it; return whether it does."""
+        fits = self.budget.held + size - self.size <= self.budget.limit
+        if size > SMALL_BYTES and not fits:
+            self.budget.times_short += 1
+            return False
+        self.set(size)
+        return True
+
+    def release(self) -> None:
+        """Release all bytes."""
+        self.set(0)
+
+
+@dataclass(frozen=True, slots=True)
+class Budgets:
+    """Budgets of a process.
+
+    Parameters
+    ----------
+    responses
+        For what was received from targets and has not been sent to callers yet.
+    uploads
+        For the bodies of requests.
+    """
+
+    responses: ByteBudget
+    uploads: ByteBudget
+
+
+def unlimited() -> Budgets:
+    """Return budgets without a limit."""
+    return Budgets(ByteBudget(), ByteBudget())
+
+
+def budgets_for(memory_mb: float) -> Budgets:
+    """Return the budgets of a process with this memory, in megabytes."""
+    memory = memory_mb * MEGABYTE
+    return Budgets(ByteBudget(RESPONSE_SHARE * memory), ByteBudget(UPLOAD_SHARE * memory))
--- a/cactusvane/http/message.py
+++ b/cactusvane/http/message.py
@@ -45,7 +45,7 @@
     method: str
     target: str
     headers: Headers = ()
-    body: bytes = b""
+    body: bytes | bytearray = b""
 
     @property
     def path(self) -> str:
--- a/cactusvane/http/server.py
+++ b/cactusvane/http/server.py
@@ -15,7 +15,8 @@
 from cactusvane.fleet.vm import Address
 from cactusvane.http.check import bad_request, body_too_large, check_head, check_lines
 from cactusvane.http.exchange import PIPELINED_METHODS, Caller, Exchange
-from cactusvane.http.message import BodyStream, Request, Response
+from cactusvane.http.memory import Budgets, unlimited
+from cactusvane.http.message import BodyStream, Request, Response, find_header
 from cactusvane.http.refusal import error_response
 from cactusvane.settings import HttpLimits
 from cactusvane.verdict import Verdict
@@ -24,6 +25,15 @@
 """Time in milliseconds for which input is discarded after a rejection, so that a caller which is
 still sending can read the response."""
 
+READ_BYTES = 16_384
+"""Maximum number of bytes of one read from a caller."""
+
+WRITE_BUFFER_BYTES = 16_384
+"""Number of bytes waiting to be written above which a streamed response pauses."""
+
+NO_MEMORY_RETRY_AFTER_MS = 1_000.0
+"""Delay after which a caller may repeat an upload that there was no memory for."""
+
 LAST_RESPONSES_MS = 100
 """Time in milliseconds for the last responses of a drain to reach their callers."""
 
@@ -47,11 +57,17 @@
         Limits on connections and requests.
     handler
         Called for each request.
+    budgets
+        Limits on what all connections hold; None for no limit.
     """
 
-    def __init__(self, limits: HttpLimits, handler: Handler) -> None:
+    def __init__(
+        self, limits: HttpLimits, handler: Handler, budgets: Budgets | None = None
+    ) -> None:
         self.limits = limits
         self.handler = handler
+        self.budgets = budgets or unlimited()
+        self.read_buffer = bytearray(READ_BYTES)
         self.connections: set[ServerConnection] = set()
         self.leaving = False
         self.draining = False
@@ -120,7 +136,7 @@
             self.empty.set()
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """One caller's connection.
 
     Requests that only read run concurrently, up to `MAX_PIPELINED`; any other request runs alone.
@@ -145,6 +161,7 @@
     def __init__(self, server: Server) -> None:
         self.server = server
         self.loop = asyncio.get_running_loop()
+        self.output = server.budgets.responses.open()
         self.transport: asyncio.Transport
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = 0.0
@@ -169,12 +186,13 @@
     def new_exchange(self) -> Exchange:
         """Return a new exchange for the next request."""
         parser = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.head_bytes)
-        return Exchange(parser, Caller())
+        return Exchange(parser, Caller(), self.server.budgets.uploads)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Accept the connection, or reject it if there are too many."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        transport.set_write_buffer_limits(WRITE_BUFFER_BYTES, 0)
         admitted = len(self.server.connections) < self.limits.connections
         self.server.connections.add(self)
         if self.server.draining:
@@ -191,6 +209,8 @@
             self.log_unanswered("the caller closed it")
         self.stop_timer()
         self.writable.set()
+        self.output.release()
+        self.incoming.upload.release()
         self.server.remove(self)
         self.notify_gone()
 
@@ -225,8 +245,14 @@
 
     def resume_writing(self) -> None:
         """Resume a streamed response."""
+        self.update_output()
         self.writable.set()
 
+    def update_output(self) -> None:
+        """Record the bytes that wait to be written to the caller."""
+        waiting = sum(exchange.response_bytes for exchange in self.exchanges)
+        self.output.set(0 if self.was_reset else waiting + self.transport.get_write_buffer_size())
+
     def set_timer(self, ms: float, action: Callable[[], None] | None) -> None:
         """Set the connection's only timer, replacing the previous one.
 
@@ -267,6 +293,14 @@
         else:
             self.timer_action()
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next read, which all connections share."""
+        return self.server.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle what was read into the buffer."""
+        self.data_received(bytes(memoryview(self.server.read_buffer)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse what the caller sent; while earlier requests run, buffer a bounded amount."""
         if self.closing or self.rejection:
@@ -310,7 +344,7 @@
                 self.handle_head(event)
                 return self.may_run(event)
             case h11.Data():
-                self.handle_data(bytes(event.data))
+                self.handle_data(event.data)
                 return True
             case h11.EndOfMessage():
                 self.dispatch()
@@ -336,6 +370,9 @@
         self.incoming.head = head
         self.head_started = False
         check_head(head, self.limits)
+        length = find_header(head.headers, b"content-length")
+        if length is not None:
+            self.reserve(int(length))
         if not self.may_run(head):
             self.set_timer(0, None)
             return
@@ -344,19 +381,33 @@
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self.transport.write(self.incoming.parser.send(interim) or b"")
 
-    def handle_data(self, data: bytes) -> None:
+    def reserve(self, size: int) -> None:
+        """Reserve memory for a body of this size.
+
+        Raises
+        ------
+        RequestError
+            There is not enough memory now: status 503.
+        """
+        upload = self.incoming.upload
+        if size > upload.size and not upload.take(size):
+            text = f"there is no room for a body of {size} bytes now"
+            raise RequestError(503, "no-memory", text, Verdict.NOT_RUN, NO_MEMORY_RETRY_AFTER_MS)
+
+    def handle_data(self, data: bytes | bytearray) -> None:
         """Buffer a part of the body.
 
         Raises
         ------
         RequestError
-            The body is too large: status 413.
+            The body is too large (status 413), or there is not enough memory now (503).
         """
-        incoming = self.incoming
-        incoming.body_size += len(data)
-        if incoming.body_size > self.limits.body_bytes:
+        body = self.incoming.body
+        size = len(body) + len(data)
+        if size > self.limits.body_bytes:
             raise body_too_large(self.limits)
-        incoming.parts.append(data)
+        self.reserve(size)
+        body += data
 
     def dispatch(self) -> None:
         """Pass the complete request to the handler and start to read the next one."""
@@ -380,13 +431,14 @@
 
     async def serve(self, exchange: Exchange) -> None:
         """Run the handler for one request and write the response when it is next in order."""
+        response: Response | None = None
         try:
             response = await self.call_handler(exchange)
+            exchange.response_bytes = len(response.body)
+            self.update_output()
             await exchange.may_respond
             if not self.closing:
                 await self.send(exchange, response)
-            elif response.rest is not None:
-                await response.rest.aclose()
         except BrokenResponseError as error:
             self.reset(f"a response broke off: {error}")
         except asyncio.CancelledError:
@@ -395,6 +447,8 @@
             events.write(Event.HTTP_SEND_FAILED, error=repr(error))
             self.reset(f"a response could not be sent: {error!r}")
         finally:
+            if response is not None and response.rest is not None:
+                await response.rest.aclose()
             self.finish(exchange)
 
     async def call_handler(self, exchange: Exchange) -> Response:
@@ -412,25 +466,32 @@
         """Write a response as fast as the caller reads it."""
         self.ending = self.ending or self.server.leaving or exchange.caller.gone
         close = self.ending and self.exchanges[-1] is exchange and self.rejection is None
+        exchange.response_bytes = 0
         head = exchange.encode_head(response, close)
         if response.rest is None:
-            self.transport.write(head + exchange.encode_end())
+            self.write(head + exchange.encode_end())
         else:
-            self.transport.write(head)
+            self.write(head)
+            await self.wait_writable()
             await self.send_rest(exchange, response.rest)
             if self.closing:
                 return
-            self.transport.write(exchange.encode_end())
+            self.write(exchange.encode_end())
         await self.wait_writable()
 
+    def write(self, data: bytes) -> None:
+        """Write to the transport, which buffers what the caller does not read."""
+        self.transport.write(data)
+        self.update_output()
+
     async def send_rest(self, exchange: Exchange, rest: BodyStream) -> None:
         """Write the remaining body of a large response as fast as the caller reads it."""
         try:
             async for part in rest:
-                self.transport.write(exchange.encode_data(part))
-                await self.wait_writable()
                 if self.closing:
                     return
+                self.write(exchange.encode_data(part))
+                await self.wait_writable()
         finally:
             await rest.aclose()
 
@@ -451,6 +512,7 @@
         """Continue after a response: with the next response, the next request, or by closing."""
         if exchange in self.exchanges:
             self.exchanges.remove(exchange)
+        exchange.upload.release()
         if self.closing:
             self.cancel_safe_requests()
             return
@@ -540,6 +602,7 @@
         if not self.was_reset:
             self.log_unanswered(reason)
         self.was_reset = self.closing = True
+        self.output.release()
         sock = self.transport.get_extra_info("socket")
         if sock is not None and not self.transport.is_closing():
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
--- a/cactusvane/keeper_entry.py
+++ b/cactusvane/keeper_entry.py
@@ -5,6 +5,7 @@
 from cactusvane.clock import Clock
 from cactusvane.entry import Entry
 from cactusvane.http.connection import FreshConnections
+from cactusvane.http.memory import budgets_for
 from cactusvane.metrics import Recorder
 from cactusvane.settings import Settings
 from cactusvane.slots.placer import KeeperPlacer
@@ -28,6 +29,7 @@
     def __init__(
         self, settings: Settings, clock: Clock, random: Random, recorder: Recorder
     ) -> None:
-        connections = FreshConnections(settings.http, clock)
+        budgets = recorder.budgets = budgets_for(settings.memory_mb)
+        connections = FreshConnections(settings.http, clock, budget=budgets.responses)
         self.keeper_placer = KeeperPlacer(settings, clock, random, recorder, connections)
         super().__init__(settings, clock, random, recorder, self.keeper_placer, connections)
--- a/cactusvane/settings.py
+++ b/cactusvane/settings.py
@@ -87,6 +87,8 @@
         callers move to other VMs, in milliseconds.
     drain_ms
         Time for which it then waits for requests in flight, in milliseconds.
+    memory_mb
+        Memory of the process in megabytes; bodies of requests and responses take a part of it.
     strength
         Suitability of the VM for work on behalf of other VMs; VMs with higher values are preferred.
     """
@@ -108,6 +110,7 @@
     retries: RetrySettings = field(default_factory=RetrySettings)
     leaving_ms: Annotated[int, Ge(0)] = 2_000
     drain_ms: Annotated[int, Ge(0)] = 30_000
+    memory_mb: Annotated[int, Ge(64)] = 300
     strength: Annotated[int, Ge(0)] = 0
 
     @property
--- a/tests/adapter/fleet.py
+++ b/tests/adapter/fleet.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
+from typing import ClassVar
 
 import msgspec
 
@@ -68,6 +69,8 @@
     """Entries started through the adapter, and targets that register in the store."""
 
     target_module = "tests.adapter.target_standin"
+    limits: ClassVar[dict[str, int]] = {}
+    """Limits on callers in the configuration; those that are left out have their defaults."""
 
     def __init__(self, directory: Path) -> None:
         super().__init__(directory)
@@ -112,6 +115,7 @@
             "version": f"{self.version:08x}",
             "services": [{"name": name} for name in SERVICES],
             "virtual-hosts": hosts,
+            "limits": self.limits,
         }
         text = msgspec.json.encode(value).decode()
         await self.write({"table": "op", "key": "config", "value": text})
@@ -175,7 +179,11 @@
     """Return the row that a target writes."""
     address = msgspec.convert(vm["address"], dict[str, object])
     state = "draining" if vm.get("state") == "leaving" else "ready"
-    info = {"service": vm["service"], "zone": vm["failure_domain"], "max-concurrency": 4}
+    info = {
+        "service": vm["service"],
+        "zone": vm["failure_domain"],
+        "max-concurrency": vm.get("slots", 4),
+    }
     value = {
         "address": f"{address['host']}:{address['port']}",
         "info": info,
