No peer's small chunks keep an entry from its other work

Cause: one read of 64 KB holds some thousand parser events, and all were handled in one callback, for each connection anew; each part was then written alone. Ruled out: memory (44 to 63 MB) and the targets' slots.

Change: a connection handles 64 events at once and leaves the rest to `Turns`, which handles it in slices of 4 ms, the connections in turn, with rests of twice that; meanwhile the connection reads nothing. Weighed: an error for messages whose framing outweighs their content (not needed for the others' sake, and some sound services send that way), a parser of our own (libraries do the plumbing).

--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -120,9 +120,7 @@
             self.random,
             self.recorder,
             self.placer,
-            FreshConnections(
-                settings.http, self.clock, default_max_spares=0, budget=self.budgets.responses
-            ),
+            FreshConnections(settings.http, self.clock, default_max_spares=0, budgets=self.budgets),
             platform.header_names,
         )
         self.entry.crashes = self.domain.crashes
--- a/cactusvane/http/client.py
+++ b/cactusvane/http/client.py
@@ -8,8 +8,9 @@
 from cactusvane.errors import BrokenResponseError, ConnectError
 from cactusvane.http.body import ResponseStream
 from cactusvane.http.check import has_bare_line_feed
-from cactusvane.http.memory import SMALL_BYTES, ByteBudget
+from cactusvane.http.memory import SMALL_BYTES, Budgets
 from cactusvane.http.message import Request, Response, find_header
+from cactusvane.http.turns import EVENTS_PER_TURN
 from cactusvane.settings import HttpLimits
 
 MAX_INTERIM_RESPONSES = 8
@@ -35,8 +36,8 @@
         A connected, non-blocking socket.
     limits
         Limits on the size of a response head and on the buffered part of its body.
-    budget
-        Limit on what all connections hold of responses; None for no limit.
+    budgets
+        What it shares with all other connections; None for a connection of its own.
 
     Attributes
     ----------
@@ -48,21 +49,26 @@
     request_ids
         Ids of the requests that the connection has carried; a late copy of a response on it may
         have any of them.
+    deferred
+        Whether received bytes wait for a later turn of the event loop.
     received_any
         Whether any byte was received in the current exchange.
     """
 
     def __init__(
-        self, sock: socket.socket, limits: HttpLimits, budget: ByteBudget | None = None
+        self, sock: socket.socket, limits: HttpLimits, budgets: Budgets | None = None
     ) -> None:
         self.sock = sock
-        self.budget = budget or ByteBudget()
+        budgets = budgets or Budgets()
+        self.turns = budgets.turns
+        self.budget = budgets.responses
         self.holding = self.budget.open()
         self.limits = limits
         self.loop = asyncio.get_running_loop()
         self.parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=limits.head_bytes)
         self.closed = False
         self.reading = False
+        self.deferred = False
         self.keep_alive = False
         self.idle_ms = 0.0
         self.request_ids: set[bytes] = set()
@@ -217,13 +223,36 @@
         return False
 
     def parse(self, data: bytes) -> None:
-        """Feed `data` to the parser and handle the resulting events."""
+        """Feed `data` to the parser and handle the events, many of them in later turns."""
         try:
             self.parser.receive_data(data)
-            while self.check_lines() and self.handle_event(self.parser.next_event()):
-                pass
         except h11.RemoteProtocolError as error:
             self.fail(f"the response is not valid HTTP: {error}")
+            return
+        if self.handle_events():
+            self.deferred = True
+            self.pause()
+            self.turns.defer(self.handle_deferred)
+
+    def handle_events(self) -> bool:
+        """Handle the parser's events; return whether there are more than belong in one turn."""
+        try:
+            for _ in range(EVENTS_PER_TURN):
+                if not self.check_lines() or not self.handle_event(self.parser.next_event()):
+                    return False
+        except h11.RemoteProtocolError as error:
+            self.fail(f"the response is not valid HTTP: {error}")
+            return False
+        return True
+
+    def handle_deferred(self) -> bool:
+        """Handle deferred events; read on once there are none. Return whether there are more."""
+        if not self.closed and self.handle_events():
+            return True
+        self.deferred = False
+        if self.response_future is not None or self.stream is not None:
+            self.resume()
+        return False
 
     def check_lines(self) -> bool:
         """Return whether the lines of the head received so far are whole; fail the exchange if not.
@@ -370,7 +399,7 @@
 
     def resume(self) -> None:
         """Resume reading from the target."""
-        if not self.reading and not self.closed:
+        if not self.reading and not self.closed and not self.deferred:
             self.reading = True
             self.loop.add_reader(self.sock.fileno(), self.receive)
 
--- a/cactusvane/http/connect.py
+++ b/cactusvane/http/connect.py
@@ -8,7 +8,7 @@
 from cactusvane.errors import ConnectError
 from cactusvane.fleet.vm import Address
 from cactusvane.http.client import ClientConnection
-from cactusvane.http.memory import ByteBudget
+from cactusvane.http.memory import Budgets
 from cactusvane.settings import HttpLimits
 
 
@@ -50,7 +50,7 @@
 
 
 async def connect(
-    address: Address, limits: HttpLimits, budget: ByteBudget | None = None
+    address: Address, limits: HttpLimits, budgets: Budgets | None = None
 ) -> ClientConnection:
     """Open a connection to `address`.
 
@@ -71,7 +71,7 @@
         raise
     loop.remove_writer(sock.fileno())
     check_connected(sock, address)
-    return ClientConnection(sock, limits, budget)
+    return ClientConnection(sock, limits, budgets)
 
 
 def set_once(future: "asyncio.Future[None]") -> None:
--- a/cactusvane/http/connection.py
+++ b/cactusvane/http/connection.py
@@ -16,7 +16,7 @@
 from cactusvane.fleet.vm import Address
 from cactusvane.http.client import ClientConnection
 from cactusvane.http.connect import check_connected, connect, start_connecting
-from cactusvane.http.memory import ByteBudget
+from cactusvane.http.memory import Budgets
 from cactusvane.settings import HttpLimits
 
 MAX_SPARES = 4
@@ -104,8 +104,8 @@
         Clock of the process.
     default_max_spares
         Maximum number of spares for a target that is not in `max_spares`.
-    budget
-        Limit on what all connections hold of responses; None for no limit.
+    budgets
+        What it shares with all other connections; None for a connection of its own.
 
     Attributes
     ----------
@@ -118,12 +118,12 @@
         limits: HttpLimits,
         clock: Clock,
         default_max_spares: int = MAX_SPARES,
-        budget: ByteBudget | None = None,
+        budgets: Budgets | None = None,
     ) -> None:
         self.limits = limits
         self.clock = clock
         self.default_max_spares = default_max_spares
-        self.budget = budget
+        self.budgets = budgets
         self.targets: dict[Address, TargetSpares] = {}
         self.max_spares: dict[Address, int] = {}
 
@@ -178,7 +178,7 @@
         connect_ms = self.limits.connect_ms
         try:
             async with asyncio.timeout(connect_ms / MS_PER_SECOND):
-                return await connect(target, self.limits, self.budget)
+                return await connect(target, self.limits, self.budgets)
         except TimeoutError as error:
             raise ConnectError(f"{target}: no connection within {connect_ms} ms") from error
 
@@ -217,7 +217,7 @@
         except ConnectError:
             return
         state.spares.append(
-            Spare(ClientConnection(sock, self.limits, self.budget), self.clock.now())
+            Spare(ClientConnection(sock, self.limits, self.budgets), self.clock.now())
         )
 
     def abort_connecting(self, state: TargetSpares, started_before: float) -> None:
--- a/cactusvane/http/memory.py
+++ b/cactusvane/http/memory.py
@@ -8,9 +8,11 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from math import inf
 
+from cactusvane.http.turns import Turns
+
 MEGABYTE = 1_000_000
 
 SMALL_BYTES = 16_384
@@ -124,23 +126,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Budgets:
-    """Budgets of a process.
+    """What the connections of a process share.
 
     Parameters
     ----------
     responses
-        For what was received from targets and has not been sent to callers yet.
+        Bytes that were received from targets and have not been sent to callers yet.
     uploads
-        For the bodies of requests.
+        Bytes of the bodies of requests.
+    turns
+        Turns of the event loop for bytes that take long to handle.
     """
 
-    responses: ByteBudget
-    uploads: ByteBudget
-
-
-def unlimited() -> Budgets:
-    """Return budgets without a limit."""
-    return Budgets(ByteBudget(), ByteBudget())
+    responses: ByteBudget = field(default_factory=ByteBudget)
+    uploads: ByteBudget = field(default_factory=ByteBudget)
+    turns: Turns = field(default_factory=Turns)
 
 
 def budgets_for(memory_mb: float) -> Budgets:
--- a/cactusvane/http/server.py
+++ b/cactusvane/http/server.py
@@ -15,9 +15,10 @@
 from cactusvane.fleet.vm import Address
 from cactusvane.http.check import bad_request, body_too_large, check_head, check_lines
 from cactusvane.http.exchange import PIPELINED_METHODS, Caller, Exchange
-from cactusvane.http.memory import Budgets, unlimited
+from cactusvane.http.memory import Budgets
 from cactusvane.http.message import BodyStream, Request, Response, find_header
 from cactusvane.http.refusal import error_response
+from cactusvane.http.turns import EVENTS_PER_TURN
 from cactusvane.settings import HttpLimits
 from cactusvane.verdict import Verdict
 
@@ -66,7 +67,7 @@
     ) -> None:
         self.limits = limits
         self.handler = handler
-        self.budgets = budgets or unlimited()
+        self.budgets = budgets or Budgets()
         self.read_buffer = bytearray(READ_BYTES)
         self.connections: set[ServerConnection] = set()
         self.leaving = False
@@ -149,6 +150,8 @@
 
     Attributes
     ----------
+    deferred
+        Whether received bytes wait for a later turn of the event loop.
     ending
         Whether the requests that were passed to the handler are the last ones of the connection;
         the response to the last of them announces the close.
@@ -172,6 +175,7 @@
         self.pending_bytes = 0
         self.head_started = False
         self.caller_gone = False
+        self.deferred = False
         self.ending = False
         self.closing = False
         self.was_reset = False
@@ -322,7 +326,22 @@
         return all(exchange.is_safe for exchange in self.exchanges)
 
     def advance(self) -> None:
-        """Handle all events that the parser has for the received data."""
+        """Handle the events that the parser has, many of them in later turns of the event loop."""
+        if not self.deferred and self.handle_received():
+            self.deferred = True
+            self.transport.pause_reading()
+            self.server.budgets.turns.defer(self.handle_deferred)
+
+    def handle_deferred(self) -> bool:
+        """Handle deferred events; read on once there are none. Return whether there are more."""
+        if not self.closing and not self.rejection and self.handle_received():
+            return True
+        self.deferred = False
+        self.transport.resume_reading()
+        return False
+
+    def handle_received(self) -> bool:
+        """Handle some events of the parser; return whether there are more."""
         incoming = self.incoming
         if incoming.head is None and not self.head_started and incoming.parser.trailing_data[0]:
             self.head_started = True
@@ -330,12 +349,16 @@
         try:
             if incoming.head is None:
                 check_lines(incoming.parser.trailing_data[0])
-            while self.handle_event(self.incoming.parser.next_event()):
-                pass
+            for _ in range(EVENTS_PER_TURN):
+                if not self.handle_event(self.incoming.parser.next_event()):
+                    return False
         except h11.RemoteProtocolError as error:
             self.reject(bad_request("bad-http", str(error), error.error_status_hint))
+            return False
         except RequestError as error:
             self.reject(error)
+            return False
+        return True
 
     def handle_event(self, event: object) -> bool:
         """Handle one event of the parser; return whether another event may follow."""
@@ -534,7 +557,8 @@
             self.reject(self.rejection)
             return
         self.pending_bytes = 0
-        self.transport.resume_reading()
+        if not self.deferred:
+            self.transport.resume_reading()
         if not self.may_read_next():
             return
         if self.incoming.head is not None:
--- a/cactusvane/keeper_entry.py
+++ b/cactusvane/keeper_entry.py
@@ -30,6 +30,6 @@
         self, settings: Settings, clock: Clock, random: Random, recorder: Recorder
     ) -> None:
         budgets = recorder.budgets = budgets_for(settings.memory_mb)
-        connections = FreshConnections(settings.http, clock, budget=budgets.responses)
+        connections = FreshConnections(settings.http, clock, budgets=budgets)
         self.keeper_placer = KeeperPlacer(settings, clock, random, recorder, connections)
         super().__init__(settings, clock, random, recorder, self.keeper_placer, connections)
--- a/cactusvane/metrics.py
+++ b/cactusvane/metrics.py
@@ -8,7 +8,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from cactusvane.http.memory import unlimited
+from cactusvane.http.memory import Budgets
 from cactusvane.outcome import Outcome
 from cactusvane.verdict import Verdict
 
@@ -122,7 +122,7 @@
         self.ejections: dict[str, int] = {}
         self.targets: dict[str, TargetCounts] = {}
         self.isolated_requests = 0
-        self.budgets = unlimited()
+        self.budgets = Budgets()
 
     def kind(self, service: str, kind: str) -> KindRecord:
         """Return the metrics of one kind of requests of one service; create them if needed."""
--- a/tests/adapter/test_abuse.py
+++ b/tests/adapter/test_abuse.py
@@ -71,7 +71,13 @@
         return int(line.split()[1]) / 1_024
 
     async def call(
-        self, service: str, path: str, body: bytes = b"", reads: bool = True, timeout_s: float = 0.0
+        self,
+        service: str,
+        path: str,
+        body: bytes = b"",
+        reads: bool = True,
+        timeout_s: float = 0.0,
+        chunked: bool = False,
     ) -> Call:
         """Send one request on a new connection, and read the response unless told otherwise."""
         loop = asyncio.get_running_loop()
@@ -80,10 +86,11 @@
             "127.0.0.1", self.processes[self.entry].port, limit=2**16
         )
         method = "POST" if body else "GET"
+        framing = "transfer-encoding: chunked" if chunked else f"content-length: {len(body)}"
         head = (
             f"{method} {path} HTTP/1.1\r\nhost: {service}.example\r\nconnection: close\r\n"
             f"x-request-id: {id(writer)}-{since}\r\nx-deadline-ms: {1_000 * TIMEOUT_S:.0f}\r\n"
-            f"content-length: {len(body)}\r\n\r\n"
+            f"{framing}\r\n\r\n"
         )
         try:
             if not reads:
@@ -183,3 +190,30 @@
     assert all("retry-after: 1" in call.text.lower() for call in rejected)
     assert all("cactusvane-verdict: not-run" in call.text.lower() for call in rejected)
     assert len(served) + len(rejected) + sum(call.status == 0 for call in uploads) == len(uploads)
+
+
+@pytest.mark.parametrize("chunk_bytes", [1, 4])
+def test_endless_small_chunks_leave_time_for_the_others(tmp_path: Path, chunk_bytes: int) -> None:
+    """Guards against handling all chunks of a read before anything else has its turn."""
+
+    async def abuse(fleet: AbusedFleet) -> list[Call]:
+        return await fleet.call_for(
+            ABUSE_S, ABUSE_PER_S, lambda: fleet.call("records", "/lookups/1")
+        )
+
+    sound, _, peak_mb = run(tmp_path, chunk_bytes, abuse)
+    assert peak_mb < MAX_MEMORY_MB, peak_mb
+    check_sound(sound)
+
+
+def test_an_upload_in_small_chunks_leaves_time_for_the_others(tmp_path: Path) -> None:
+    """Guards against the same from callers."""
+
+    async def abuse(fleet: AbusedFleet) -> list[Call]:
+        body = b"1\r\nx\r\n" * 200_000 + b"0\r\n\r\n"
+        uploads = [fleet.call("records", "/bookings/1", body, chunked=True) for _ in range(3)]
+        return list(await asyncio.gather(*uploads))
+
+    sound, _, peak_mb = run(tmp_path, None, abuse)
+    assert peak_mb < MAX_MEMORY_MB, peak_mb
+    check_sound(sound)
--- a/tests/http/test_memory.py
+++ b/tests/http/test_memory.py
@@ -57,7 +57,7 @@
         if request.method == "POST":
             await asyncio.sleep(0.2)
             return Response(200, (), b"%d" % len(request.body))
-        connection = await connect(self.target, LIMITS, self.budgets.responses)
+        connection = await connect(self.target, LIMITS, self.budgets)
         return await connection.exchange(Request("GET", "/a", [(b"host", b"a")]))
 
     async def send(self, data: bytes, reads: bool = True) -> bytes:
