After a request that offers an upgrade, the next one is served

RFC 9110, 7.8, lets a server ignore the offer.

Cause: h11 is then in MIGHT_SWITCH_PROTOCOL, not DONE, until the answer is sent; no new exchange was set up, and the next request met the old parser, which pauses for good. Other states in which the parser waits for something that never comes: CONNECT (now 501), and a body behind earlier requests whose caller waits for 100 Continue (now asked for when its turn comes). An Expect with an unknown value is ignored, as before.

--- a/cactusvane/http/check.py
+++ b/cactusvane/http/check.py
@@ -79,10 +79,12 @@
     Raises
     ------
     RequestError
-        The framing or the path is ambiguous (status 400), the announced body is too large (413)
-        or the head is too large (431).
+        The framing or the path is ambiguous (status 400), the announced body is too large (413),
+        the head is too large (431) or asks for a tunnel (501).
     """
     headers = list(head.headers)
+    if head.method == b"CONNECT":
+        raise bad_request("no-tunnels", "tunnels are not supported", 501)
     check_size(head, limits)
     length = find_header(headers, b"content-length")
     coding = find_header(headers, b"transfer-encoding")
--- a/cactusvane/http/server.py
+++ b/cactusvane/http/server.py
@@ -400,6 +400,10 @@
             self.set_timer(0, None)
             return
         self.set_timer(self.limits.body_ms, self.reject_slow_body)
+        self.ask_for_body()
+
+    def ask_for_body(self) -> None:
+        """Send the interim response that the caller waits for, unless a response is due first."""
         if self.incoming.parser.they_are_waiting_for_100_continue and not self.exchanges:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self.transport.write(self.incoming.parser.send(interim) or b"")
@@ -442,7 +446,7 @@
         if self.caller_gone:
             exchange.caller.mark_gone()
         exchange.task = self.loop.create_task(self.serve(exchange))
-        if exchange.parser.their_state is h11.DONE:
+        if exchange.parser.their_state in (h11.DONE, h11.MIGHT_SWITCH_PROTOCOL):
             data, closed = exchange.parser.trailing_data
             self.incoming = self.new_exchange()
             if data:
@@ -563,6 +567,7 @@
             return
         if self.incoming.head is not None:
             self.set_timer(self.limits.body_ms, self.reject_slow_body)
+            self.ask_for_body()
             self.advance()
         elif self.incoming.parser.trailing_data[0]:
             self.advance()
