Use the exported state of the parser to tell whether another request may follow

The check of types refused the other name; the states after the end of a request are DONE, MIGHT_SWITCH_PROTOCOL and MUST_CLOSE. tests/http pass.

--- a/cactusvane/http/server.py
+++ b/cactusvane/http/server.py
@@ -446,7 +446,7 @@
         if self.caller_gone:
             exchange.caller.mark_gone()
         exchange.task = self.loop.create_task(self.serve(exchange))
-        if exchange.parser.their_state in (h11.DONE, h11.MIGHT_SWITCH_PROTOCOL):
+        if exchange.parser.their_state is not h11.MUST_CLOSE:
             data, closed = exchange.parser.trailing_data
             self.incoming = self.new_exchange()
             if data:
