No signal but the stop ends a process, from its first line to its last

The same at the end of a planned stop, when the loop had given its handlers back: exit code -1 (new here). cactusvaned ended by SIGHUP at any time.

Change: `cactusvane.signals` holds a reload from the first line of the program on, before it loads the rest; it takes place when the process serves. After the stop all three signals are ignored until the exit. Left: the interpreter's own start, before the first line.

--- a/cactusvane/daemon.py
+++ b/cactusvane/daemon.py
@@ -8,7 +8,6 @@
 import argparse
 import asyncio
 import gc
-import signal
 import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -37,6 +36,7 @@
 from cactusvane.report.ledger import BUCKET_MS
 from cactusvane.report.store import flush
 from cactusvane.settings import Settings, check_addresses
+from cactusvane.signals import Signals
 from cactusvane.store.client import HttpPlatform
 
 TICK_INTERVAL_MS = 100
@@ -166,9 +166,8 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT."""
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stopping.set)
+        signals = Signals()
+        signals.handle(self.stopping.set, self.reject_reload)
         address = await self.server.start(self.settings.listen)
         await self.admin.start(self.settings.admin)
         await self.node.start()
@@ -176,6 +175,11 @@
         self.start_tasks()
         await self.stopping.wait()
         await self.stop()
+        signals.ignore()
+
+    def reject_reload(self) -> None:
+        """Log that this program reads its settings only when it starts."""
+        events.write(Event.SETTINGS_KEPT, vm=self.settings.vm)
 
     def start_tasks(self) -> None:
         """Start the background tasks."""
--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -194,6 +194,9 @@
     REQUEST_ATTEMPTED = EventKind(1804, logging.INFO, "{request}: {target}: {outcome}")
     REQUEST_ENDED = EventKind(1805, logging.INFO, "{request}: {status}, {verdict}")
     LINES_DROPPED = EventKind(1901, logging.WARNING, "{lines} log lines were dropped")
+    SETTINGS_KEPT = EventKind(
+        1007, logging.WARNING, "{vm} keeps its settings, which it reads only when it starts"
+    )
     SETTINGS_RELOADED = EventKind(1006, logging.INFO, "{vm} reloaded its settings")
 
 
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import signal
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
 from functools import partial
@@ -54,6 +53,7 @@
 from cactusvane.placement.placer import SharedPlacer
 from cactusvane.placement.sender import UpdateSender
 from cactusvane.settings import Settings
+from cactusvane.signals import Signals
 
 RESTART_DELAY_MS = 500.0
 """Delay before a table is followed again after an exception."""
@@ -253,12 +253,16 @@
         own_candidate = ReaderCandidate(self.settings.vm, own.response_age_ms, eligible)
         return is_reader(own_candidate, others, self.fleet.follow.max_staleness_ms)
 
-    async def run(self) -> None:
-        """Serve callers until the process receives SIGTERM or SIGINT."""
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self.reload_settings)
+    async def run(self, signals: Signals | None = None) -> None:
+        """Serve callers until the process receives SIGTERM or SIGINT.
+
+        Parameters
+        ----------
+        signals
+            Signals that were held back while the process was loaded.
+        """
+        signals = signals or Signals()
+        signals.handle(self.stopping.set, self.reload_settings)
         await self.update_sender.start()
         await self.peer_server.start(self.settings.peer)
         await self.admin.start(self.settings.admin)
@@ -271,6 +275,7 @@
         self.start_task(self.finder.query_seeds(lambda: self.ready or self.stopping.is_set()))
         await self.stopping.wait()
         await self.stop()
+        signals.ignore()
 
     async def follow(self, follower: TableFollower) -> None:
         """Follow a table until cancelled, also after an exception that nobody has foreseen."""
