Soak: callers send reads behind each other, and know which were not read

A fifth of the reads goes in groups of two to four on one connection. What stands behind an answer that announces the close counts as not run, so that a request which an entry has passed on and dropped is a false "not run".

--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -18,6 +18,9 @@
 MAX_BOOKING_ATTEMPTS = 4
 KEY_RAN_STATUS = 409
 MAX_RETRY_DELAY_SECONDS = 0.4
+PIPELINE_SHARE = 0.2
+MAX_PIPELINED = 4
+"""Share of the reads that are sent in a group before the first one is answered, and its size."""
 
 
 class Outcome(Enum):
@@ -101,6 +104,41 @@
         self.http.send(h11.EndOfMessage())
         return await self.read()
 
+    async def pipeline(self, requests: list[tuple[str, dict[str, str]]]) -> list[Response | None]:
+        """Send reads one behind the other, and return their responses.
+
+        Parameters
+        ----------
+        requests
+            Path and header fields of each request.
+
+        Returns
+        -------
+        list
+            A response for each request; None for those behind a response that announces the close
+            of the connection, which count as not read.
+        """
+        parsers = []
+        for path, headers in requests:
+            parser = h11.Connection(h11.CLIENT)
+            head = parser.send(
+                h11.Request(method="GET", target=path, headers=list(headers.items()))
+            )
+            parser.send(h11.EndOfMessage())
+            self.writer.write(head or b"")
+            parsers.append(parser)
+        responses: list[Response | None] = []
+        for parser in parsers:
+            if responses and self.http.their_state is h11.MUST_CLOSE:
+                responses.append(None)
+                continue
+            received, closed = self.http.trailing_data if responses else (b"", False)
+            self.http = parser
+            if received or closed:
+                parser.receive_data(received)
+            responses.append(await self.read())
+        return responses
+
     async def read(self) -> Response:
         """Read one response; return an incomplete one if the peer disconnects or sends no HTTP."""
         status, headers, body = 0, dict[str, str](), bytearray()
@@ -227,7 +265,10 @@
             if connection is None:
                 entry, connection = await self.connect_any(rng)
             call.entry = entry
-            connection = await self.make_call(call, connection, rng)
+            if call.kind.method == "GET" and connection and rng.random() < PIPELINE_SHARE:
+                connection = await self.make_group(call, connection, rng)
+            else:
+                connection = await self.make_call(call, connection, rng)
         if connection is not None:
             connection.close()
 
@@ -294,6 +335,38 @@
 
         await asyncio.gather(*(session(number) for number in range(sessions)))
 
+    async def make_group(
+        self, first: Call, connection: CallerConnection, rng: random.Random
+    ) -> CallerConnection | None:
+        """Send reads before the first is answered; return the connection if it can be reused."""
+        calls = [first]
+        for _ in range(rng.randint(1, MAX_PIPELINED - 1)):
+            calls.append(self.new_call(first.kind, rng))
+        for call in calls:
+            call.entry, call.sent_at = first.entry, time.time()
+        requests = [
+            (call.kind.path, {"Host": call.kind.host, **self.request_headers(call)})
+            for call in calls
+        ]
+        try:
+            async with asyncio.timeout(self.timeout_seconds):
+                responses = await connection.pipeline(requests)
+        except TimeoutError:
+            for call in calls:
+                self.record_outcome(call, Outcome.MAY_HAVE_RUN, "gave up waiting")
+            connection.close()
+            return None
+        for call, response in zip(calls, responses, strict=True):
+            if response is None:
+                self.record_outcome(call, Outcome.NOT_RUN, "behind a response that closes")
+            else:
+                self.record_response(call, response)
+        last = responses[-1]
+        if last is not None and last.complete and connection.reusable():
+            return connection
+        connection.close()
+        return None
+
     async def make_call(
         self, call: Call, connection: CallerConnection | None, rng: random.Random
     ) -> CallerConnection | None:
