Two bounds of the budgets hold in two more cases

A response that came after its connection was lost counted for good (3 MB after three callers that reset): what a lost connection holds is now 0 whatever comes. Deferred events resumed a stream that was already full, so that one response grew by a read at each turn (1.9 MB in 1 s where 0.2 MB are allowed): a full stream is not resumed by anything but its consumer.

--- a/cactusvane/http/body.py
+++ b/cactusvane/http/body.py
@@ -47,11 +47,16 @@
         self.error: BrokenResponseError | None = None
         self.changed = asyncio.Event()
 
+    @property
+    def is_full(self) -> bool:
+        """Whether nothing more should be read until the consumer takes a part."""
+        return len(self.buffer) > self.limit
+
     def feed(self, data: bytes | bytearray) -> None:
         """Buffer `data` received by the connection."""
         self.buffer += data
         self.holding.set(len(self.buffer))
-        if len(self.buffer) > self.limit:
+        if self.is_full:
             self.connection.pause()
         self.changed.set()
 
@@ -75,8 +80,7 @@
         part = bytes(self.buffer[:PART_BYTES])
         del self.buffer[:PART_BYTES]
         self.holding.set(len(self.buffer))
-        if len(self.buffer) <= self.limit:
-            self.connection.resume()
+        self.connection.resume()
         return part
 
     def discard(self) -> None:
--- a/cactusvane/http/client.py
+++ b/cactusvane/http/client.py
@@ -398,8 +398,10 @@
             self.loop.remove_reader(self.sock.fileno())
 
     def resume(self) -> None:
-        """Resume reading from the target."""
-        if not self.reading and not self.closed and not self.deferred:
+        """Resume reading from the target, unless what was read waits to be handled or taken."""
+        if self.deferred or (self.stream is not None and self.stream.is_full):
+            return
+        if not self.reading and not self.closed:
             self.reading = True
             self.loop.add_reader(self.sock.fileno(), self.receive)
 
--- a/cactusvane/http/server_connection.py
+++ b/cactusvane/http/server_connection.py
@@ -63,6 +63,8 @@
         Whether nothing more is read or written.
     was_reset
         Whether this side reset the connection.
+    was_lost
+        Whether the connection is closed, so that nothing waits to be written.
     """
 
     def __init__(self, server: "Server") -> None:
@@ -81,6 +83,7 @@
         self.ending = False
         self.closing = False
         self.was_reset = False
+        self.was_lost = False
         self.writable = asyncio.Event()
         self.writable.set()
 
@@ -110,12 +113,12 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timer and notify the handlers that the caller is gone."""
-        self.closing = True
+        self.closing = self.was_lost = True
         if not self.was_reset:
             self.log_unanswered("the caller closed it")
         self.timer.stop()
         self.writable.set()
-        self.output.release()
+        self.update_output()
         self.incoming.upload.release()
         self.server.remove(self)
         self.notify_gone()
@@ -156,8 +159,11 @@
 
     def update_output(self) -> None:
         """Record the bytes that wait to be written to the caller."""
+        if self.was_lost:
+            self.output.release()
+            return
         waiting = sum(exchange.response_bytes for exchange in self.exchanges)
-        self.output.set(0 if self.was_reset else waiting + self.transport.get_write_buffer_size())
+        self.output.set(waiting + self.transport.get_write_buffer_size())
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return the buffer for the next read, which all connections share."""
@@ -493,7 +499,6 @@
         if not self.was_reset:
             self.log_unanswered(reason)
         self.was_reset = self.closing = True
-        self.output.release()
         sock = self.transport.get_extra_info("socket")
         if sock is not None and not self.transport.is_closing():
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
