--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -322,8 +322,9 @@
         self.entry.version = found.version
         self.newest.activated(found.version)
         self.entry.configure(found.configuration)
+        if found.limits.body_bytes != self.server.limits.body_bytes:
+            self.check_memory(found)
         self.server.limits = found.limits
-        self.check_memory(found)
         events.write(Event.CONFIGURATION_ADOPTED, version=found.version)
         self.log_ready()
 
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -12,6 +12,7 @@
 from adapter.store import Store
 
 from cactusvane.errors import ConnectError
+from cactusvane.events import Event
 from cactusvane.fleet.vm import Address
 from cactusvane.fleet_process import FleetProcess
 from cactusvane.fleet_settings import FleetLimits, Platform
@@ -412,6 +413,25 @@
     run_scenario(scenario)
 
 
+def test_bodies_that_the_memory_does_not_hold_are_logged_once(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Not with each version of the configuration."""
+
+    async def scenario(fleet: Fleet) -> None:
+        process = await fleet.start_process("e1")
+        process.budgets.uploads.limit = 1_000.0
+        fleet.list_targets()
+        for _ in range(3):
+            before = process.version
+            fleet.configure()
+            await until(lambda before=before: process.version > before)
+
+    run_scenario(scenario)
+    number = Event.BODIES_TOO_LARGE.value.number
+    assert sum(getattr(each, "number", 0) == number for each in caplog.records) == 1
+
+
 def test_changed_settings_are_reloaded() -> None:
     async def scenario(fleet: Fleet) -> None:
         process = await fleet.start_process("e1", (ANY,))
