--- a/cactusvane/http/server_connection.py
+++ b/cactusvane/http/server_connection.py
@@ -381,14 +381,11 @@
 
     async def send_rest(self, exchange: Exchange, rest: BodyStream) -> None:
         """Write the remaining body of a large response as fast as the caller reads it."""
-        try:
-            async for part in rest:
-                if self.closing:
-                    return
-                self.write(exchange.encode_data(part))
-                await self.wait_writable()
-        finally:
-            await rest.aclose()
+        async for part in rest:
+            if self.closing:
+                return
+            self.write(exchange.encode_data(part))
+            await self.wait_writable()
 
     async def wait_writable(self) -> None:
         """Wait until the transport is writable.
--- a/tests/adapter/test_stop.py
+++ b/tests/adapter/test_stop.py
@@ -112,6 +112,17 @@
     return await caller.answer()
 
 
+async def stop_with_a_call_in_flight(fleet: Fleet, path: str) -> LateCaller:
+    """Stop an entry while a target that does not answer has a request; return its caller."""
+    process = await serving(fleet, "hang")
+    caller = LateCaller(process, path, LONG_MS)
+    await caller.connect()
+    caller.send("whole")
+    await until(lambda: runs(fleet) == 1)
+    process.stopping.set()
+    return caller
+
+
 @pytest.mark.parametrize("path", [READ, BOOK])
 @pytest.mark.parametrize(("seconds", "time_ms"), [(0.06, 1_500), (0.4, 1_500), (1.3, 600)])
 def test_a_request_whose_deadline_is_before_the_end_of_a_stop_is_served(
@@ -162,12 +173,7 @@
     """Guards against a reset, which does not say that the request may have run."""
 
     async def scenario(fleet: Fleet) -> None:
-        process = await serving(fleet, "hang")
-        caller = LateCaller(process, path, LONG_MS)
-        await caller.connect()
-        caller.send("whole")
-        await until(lambda: runs(fleet) == 1)
-        process.stopping.set()
+        caller = await stop_with_a_call_in_flight(fleet, path)
         answer = await caller.answer()
         assert (answer.status, answer.verdict) == (502, "may-have-run")
         assert ENDS_S - 0.1 < answer.after_s < ENDS_S + 0.2
@@ -203,12 +209,7 @@
     """The first target breaks off shortly before the end of the stop."""
 
     async def scenario(fleet: Fleet) -> None:
-        process = await serving(fleet, "hang")
-        caller = LateCaller(process, READ, LONG_MS)
-        await caller.connect()
-        caller.send("whole")
-        await until(lambda: runs(fleet) == 1)
-        process.stopping.set()
+        caller = await stop_with_a_call_in_flight(fleet, READ)
         await asyncio.sleep(ENDS_S - 0.3)
         for target in fleet.targets:
             target.break_off()
