Types for customers, quotas, freshness and reports between groups

Cause: the parts that follow (keys, revocation, quotas, expected work) exchange messages and settings that several of them use. Change: the types and fields stand first, unused, so that the parts can be built side by side. The entry behaves as before: reports and queries that arrive are ignored.

--- a/cactusvane/clock.py
+++ b/cactusvane/clock.py
@@ -19,6 +19,16 @@
         """
         return time.monotonic_ns() / NS_PER_MS
 
+    def boot(self) -> float:
+        """Return a monotonic time that also counts the time for which the machine is suspended.
+
+        Returns
+        -------
+        float
+            Milliseconds since an arbitrary point in the past, other than that of `now`.
+        """
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / NS_PER_MS
+
     def wall(self) -> float:
         """Return the wall-clock time, which may jump, in milliseconds since the epoch."""
         return time.time_ns() / NS_PER_MS
@@ -47,6 +57,10 @@
         """Return the time set so far, in milliseconds."""
         return self.now_ms
 
+    def boot(self) -> float:
+        """Return the time set so far, in milliseconds; the same as `now`."""
+        return self.now_ms
+
     def wall(self) -> float:
         """Return the time set so far, in milliseconds; the same as `now`."""
         return self.now_ms
--- a/cactusvane/configuration/model.py
+++ b/cactusvane/configuration/model.py
@@ -42,6 +42,8 @@
         Maximum number of targets that one request is sent to.
     priority
         Priority among the routes of a service under overload; 0 is the highest.
+    anonymous
+        Whether requests need no key of a customer.
     """
 
     __pydantic_config__: ClassVar = STRICT
@@ -54,6 +56,7 @@
     latency_ms: Annotated[int, Ge(1)] = 2_000
     attempts: Annotated[int, Ge(1), Le(10)] = 3
     priority: Annotated[int, Ge(0)] = 0
+    anonymous: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,6 +198,36 @@
     shares: tuple[Share, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """A customer, whose requests carry one of its keys.
+
+    Parameters
+    ----------
+    name
+        Name of the customer, which targets are told.
+    keys
+        Its API keys; left out of the representation, since that may be logged.
+    rate_per_s
+        Requests per second that the whole fleet admits; 0 for no limit.
+    burst
+        Requests that it admits beyond the rate at once.
+    priority
+        Priority among the customers; 0 is the highest. It goes before the route's.
+    """
+
+    name: str
+    keys: tuple[str, ...] = field(repr=False)
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    priority: int = 0
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether the customer has a quota."""
+        return self.rate_per_s > 0.0 or self.burst > 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Head:
     """The row that selects the active configuration.
@@ -224,7 +257,10 @@
         Content of the service files.
     rules
         Routes outside the service files; the routes of the files take precedence.
+    customers
+        Customers that may send requests; without any, requests need no key.
     """
 
     services: tuple[Service, ...] = ()
     rules: tuple[Rule, ...] = ()
+    customers: tuple[Customer, ...] = ()
--- a/cactusvane/fleet_settings.py
+++ b/cactusvane/fleet_settings.py
@@ -39,6 +39,25 @@
     header_names: HeaderNames
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaLimits:
+    """How exactly the quotas of customers are to be kept.
+
+    Parameters
+    ----------
+    window_ms
+        Length of the sliding window in which requests are counted.
+    over_share
+        Share by which a quota may be exceeded in a window.
+    slack
+        Requests by which it may be exceeded in addition.
+    """
+
+    window_ms: float = 5_000.0
+    over_share: float = 0.1
+    slack: float = 20.0
+
+
 @dataclass(frozen=True, slots=True)
 class FleetLimits:
     """Limits that apply to all entries of the fleet together.
@@ -57,6 +76,13 @@
         Names of all failure domains.
     target_lapse_ms
         Time after which the store drops the row of a silent target.
+    revoke_ms
+        Time after the removal of a key within which requests with it may still run; None if
+        only the ordinary time of a change applies.
+    quota
+        How exactly quotas are to be kept; None if customers have none.
+    bootstrap
+        Whether all VMs start now for the first time.
     """
 
     retries: RetryLimit
@@ -65,6 +91,9 @@
     target_drain_ms: float = 2_000.0
     target_lapse_ms: float = 4_500.0
     failure_domains: tuple[str, ...] = ()
+    revoke_ms: float | None = None
+    quota: QuotaLimits | None = None
+    bootstrap: bool = False
 
     def max_retention_ms(self, connect_ms: float) -> float:
         """Return how long a target that may have left is retained.
--- a/cactusvane/http/vocabulary.py
+++ b/cactusvane/http/vocabulary.py
@@ -28,6 +28,10 @@
     leaving
         In any response of a target: with value ``1``, it leaves. Where it is used, ``Retry-After``
         in a target's 503 response is the time for which it wants no request from this entry.
+    api_key
+        Key of a customer, in callers' requests. It is never forwarded or logged.
+    customer
+        Name of the customer; set by entries in requests to targets.
     """
 
     deadline: bytes = b"cactusvane-deadline-ms"
@@ -38,6 +42,8 @@
     signature: bytes = b""
     rate_limit: bytes = b""
     leaving: bytes = b""
+    api_key: bytes = b""
+    customer: bytes = b""
 
     @property
     def set_by_entries(self) -> frozenset[bytes]:
--- a/cactusvane/placement/messages.py
+++ b/cactusvane/placement/messages.py
@@ -34,6 +34,10 @@
         Time after which a response is of no use, on the same clock.
     latency_ms
         Latency objective: a response within this time is of full use.
+    customer
+        Name of the customer; empty if the configuration has none, or the route is anonymous.
+    customer_priority
+        Priority of the customer, which goes before `priority`.
     """
 
     kind: str
@@ -42,6 +46,8 @@
     arrived: float
     deadline: float
     latency_ms: float
+    customer: str = ""
+    customer_priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -199,6 +205,100 @@
     age_ms: float
 
 
+class CustomerUsage(msgspec.Struct, frozen=True, array_like=True):
+    """Requests of one customer since the start of the process that reports them.
+
+    Parameters
+    ----------
+    admitted
+        Requests that were admitted, less those that turned out not to have run.
+    asked
+        Requests that were received.
+    """
+
+    admitted: int
+    asked: int
+
+
+class ServiceRoom(msgspec.Struct, frozen=True, array_like=True):
+    """Capacity of one service in one group of entries.
+
+    Parameters
+    ----------
+    free_slots
+        Slots of its targets that no request occupies.
+    wait_ms
+        Mean expected wait at these targets.
+    """
+
+    free_slots: int
+    wait_ms: float
+
+
+class DomainReport(msgspec.Struct, frozen=True, array_like=True, tag="d"):
+    """State of one group of entries, for the entries of the other groups.
+
+    Parameters
+    ----------
+    sender
+        VM of the entry that reports.
+    failure_domain, group
+        Failure domain of the group, and its number there.
+    number
+        Sequence number; increases with each report of one process.
+    started
+        Start time of the sender's process in milliseconds since the epoch.
+    usage
+        Usage of the whole group by customer, as far as the sender knows, since its start.
+    room
+        Capacity of each service in the group.
+    """
+
+    sender: str
+    failure_domain: str
+    group: int
+    number: int
+    started: int
+    usage: dict[str, CustomerUsage] = {}
+    room: dict[str, ServiceRoom] = {}
+
+
+class FreshnessQuery(msgspec.Struct, frozen=True, array_like=True, tag="q"):
+    """Asks another entry for the age of its proof that its configuration is current.
+
+    Parameters
+    ----------
+    sender
+        VM of the entry that asks.
+    number
+        Sequence number of the query.
+    """
+
+    sender: str
+    number: int
+
+
+class FreshnessAnswer(msgspec.Struct, frozen=True, array_like=True, tag="a"):
+    """Answer to a `FreshnessQuery`.
+
+    Parameters
+    ----------
+    sender
+        VM of the entry that answers.
+    number
+        Number of the query.
+    position
+        Position of the table of the configuration that was proved to be current.
+    age_ms
+        Time since the start of the call that proved it, when the answer was made.
+    """
+
+    sender: str
+    number: int
+    position: TablePosition
+    age_ms: float
+
+
 class StateUpdate(msgspec.Struct, frozen=True, array_like=True, tag="n"):
     """State that one entry sends to the other entries of its failure domain.
 
@@ -232,6 +332,15 @@
     leaving
         Targets, by name, that have told the entry that they leave; None if those last sent still
         hold.
+    usage
+        Usage by customer, for those whose usage changed since the previous update.
+    levels
+        Levels of the token buckets of customers that are not full; None if the sender is no relay
+        or has sent them recently.
+    work
+        Expected remaining work of the entry's requests in flight, by target, in milliseconds.
+    customer_work
+        Expected work in flight by service and customer, in milliseconds.
     """
 
     sender: str
@@ -246,6 +355,10 @@
     rate_limits: dict[str, RateLimitReport] | None = None
     crash_reports: tuple[CrashReport, ...] = ()
     leaving: dict[str, LeavingReport] | None = None
+    usage: dict[str, CustomerUsage] | None = None
+    levels: dict[str, float] | None = None
+    work: dict[str, int] | None = None
+    customer_work: dict[str, dict[str, int]] | None = None
 
     @property
     def is_full(self) -> bool:
@@ -279,11 +392,14 @@
         Those of the same sender are in order of their numbers.
     forward_to
         Addresses to which the receiver forwards the batch.
+    reports
+        Reports of other groups.
     """
 
     sender: str
     updates: tuple[RelayedUpdate, ...]
     forward_to: tuple[Address, ...] = ()
+    reports: tuple[DomainReport, ...] = ()
 
 
 class CrashNotice(msgspec.Struct, frozen=True, array_like=True, tag="c"):
@@ -301,5 +417,5 @@
     reports: tuple[CrashReport, ...]
 
 
-Message = StateUpdate | UpdateBatch | CrashNotice
+Message = StateUpdate | UpdateBatch | CrashNotice | DomainReport | FreshnessQuery | FreshnessAnswer
 """A datagram between entries; a `StateUpdate` alone asks its receiver to relay it."""
--- a/cactusvane/placement/relaying.py
+++ b/cactusvane/placement/relaying.py
@@ -27,6 +27,9 @@
 from cactusvane.placement.domain import Domain
 from cactusvane.placement.messages import (
     CrashNotice,
+    DomainReport,
+    FreshnessAnswer,
+    FreshnessQuery,
     Message,
     RelayedUpdate,
     StateUpdate,
@@ -373,6 +376,8 @@
                     return []
                 self.direct_updates.add(relayed_update)
                 return [relayed_update]
+            case DomainReport() | FreshnessQuery() | FreshnessAnswer():
+                return []
             case UpdateBatch():
                 self.last_batch_at[message.sender] = now
                 if message.forward_to:
