Errors of the HTTP parser are told without the bytes that they quote

Cause: h11 appends the whole illegal line to some texts. An illegal line with a customer's key, or a broken chunk of a configuration, would get into the log and into responses. Change: the log and the caller get the text without the bytes.

--- a/cactusvane/http/client.py
+++ b/cactusvane/http/client.py
@@ -10,6 +10,7 @@
 from cactusvane.http.check import has_bare_line_feed
 from cactusvane.http.memory import SMALL_BYTES, Budgets
 from cactusvane.http.message import Request, Response, find_header
+from cactusvane.http.parser_errors import describe
 from cactusvane.http.turns import EVENTS_PER_TURN
 from cactusvane.settings import HttpLimits
 
@@ -227,7 +228,7 @@
         try:
             self.parser.receive_data(data)
         except h11.RemoteProtocolError as error:
-            self.fail(f"the response is not valid HTTP: {error}")
+            self.fail(f"the response is not valid HTTP: {describe(error)}")
             return
         if self.handle_events():
             self.deferred = True
@@ -241,7 +242,7 @@
                 if not self.check_lines() or not self.handle_event(self.parser.next_event()):
                     return False
         except h11.RemoteProtocolError as error:
-            self.fail(f"the response is not valid HTTP: {error}")
+            self.fail(f"the response is not valid HTTP: {describe(error)}")
             return False
         return True
 
--- a/cactusvane/http/server_connection.py
+++ b/cactusvane/http/server_connection.py
@@ -15,6 +15,7 @@
 from cactusvane.http.check import bad_request, body_too_large, check_head, check_lines
 from cactusvane.http.exchange import PIPELINED_METHODS, Caller, Exchange
 from cactusvane.http.message import BodyStream, Response, find_header
+from cactusvane.http.parser_errors import describe
 from cactusvane.http.refusal import error_response
 from cactusvane.http.timer import Timer
 from cactusvane.http.turns import EVENTS_PER_TURN
@@ -221,7 +222,7 @@
                 if not self.handle_event(self.incoming.parser.next_event()):
                     return False
         except h11.RemoteProtocolError as error:
-            self.reject(bad_request("bad-http", str(error), error.error_status_hint))
+            self.reject(bad_request("bad-http", describe(error), error.error_status_hint))
             return False
         except RequestError as error:
             self.reject(error)
