Tenants of the platform's configuration become customers

A configuration with an ambiguous or unusable key, or with a name that no header field can carry, is refused whole. Neither the reason nor a representation contains a key.

--- a/cactusvane/errors.py
+++ b/cactusvane/errors.py
@@ -38,6 +38,10 @@
         self.remedy = remedy
 
 
+class CustomerError(InputError):
+    """The customers of a configuration are invalid; the message contains no key."""
+
+
 class ConfigurationConflictError(InputError):
     """Two operators changed the same services concurrently."""
 
--- a/tests/adapter/test_decoder.py
+++ b/tests/adapter/test_decoder.py
@@ -5,9 +5,9 @@
 
 import msgspec
 import pytest
-from adapter.decoder import Decoder
+from adapter.decoder import Decoder, WireTenant
 
-from cactusvane.configuration.model import Share
+from cactusvane.configuration.model import Customer, Share
 from cactusvane.fleet.vm import Address, VmState
 
 TARGET: dict[str, Any] = {
@@ -128,3 +128,71 @@
 
 def test_no_configuration() -> None:
     assert Decoder().configuration({}) is None
+
+
+TENANT: dict[str, Any] = {"name": "a", "api-keys": ["s3cret", "k2"]}
+
+
+def with_tenants(*tenants: object) -> dict[str, bytes]:
+    return rows(config=CONFIGURATION | {"tenants": tenants})
+
+
+def test_tenants() -> None:
+    """Guards against a customer without its keys, its quota or its priority."""
+    limited = {"name": "b", "api-keys": ["k3"], "priority": 2, "rate-per-s": 91, "burst": 0.5}
+    found = Decoder().configuration(with_tenants(TENANT, limited))
+    assert found is not None
+    assert found.configuration.customers == (
+        Customer("a", ("s3cret", "k2")),
+        Customer("b", ("k3",), rate_per_s=91.0, burst=0.5, priority=2),
+    )
+
+
+@pytest.mark.parametrize("tenants", [{}, {"tenants": None}, {"tenants": []}])
+def test_a_configuration_without_tenants_has_no_customers(tenants: dict[str, Any]) -> None:
+    """Guards against a service that suddenly requires keys, or has no configuration."""
+    found = Decoder().configuration(rows(config=CONFIGURATION | tenants))
+    assert found is not None
+    assert found.configuration.customers == ()
+
+
+@pytest.mark.parametrize(
+    ("tenants", "reason"),
+    [
+        ([TENANT, {"name": "b", "api-keys": ["s3cret"]}], "'a' and 'b' have the same key"),
+        ([TENANT, {"name": "a", "api-keys": ["s3cret2"]}], "the name 'a'"),
+        ([{"name": "", "api-keys": ["s3cret"]}], "no name"),
+        ([{"api-keys": ["s3cret"]}], "missing required field `name`"),
+        ([{"name": "a", "api-keys": ["s3cret", ""]}], "empty or not visible ASCII"),
+        ([{"name": "a", "api-keys": ["s3cret\u00e9"]}], "empty or not visible ASCII"),
+        ([{"name": "a", "api-keys": ["s3cret", 7]}], "Expected `str`"),
+        ([{"name": "a", "api-keys": "s3cret"}], "Expected `array`"),
+        ([{"name": "a", "api-keys": ["s3cret"], "rate-per-s": -1}], "Expected `float`"),
+    ],
+)
+def test_invalid_tenants_make_the_configuration_unusable(
+    tenants: list[object], reason: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a configuration that is used in part, and a key in the logged reason."""
+    assert Decoder().configuration(with_tenants(*tenants)) is None
+    (record,) = caplog.records
+    assert reason in record.getMessage()
+    assert "s3cret" not in f"{record.getMessage()} {vars(record)}"
+
+
+@pytest.mark.parametrize(
+    "text", [b'"s3cret', b'"s3cret\xff"', b'"s3cret\\ud800"', b'["s3cret" "k"]', b"s3cret"]
+)
+def test_a_configuration_that_is_no_json_is_reported_without_its_content(
+    text: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a key in the text of an error of the JSON parser."""
+    broken = b'{"version": "1f", "tenants": [{"name": "a", "api-keys": [' + text + b"]}]}"
+    assert Decoder().configuration({"config": broken}) is None
+    (record,) = caplog.records
+    assert "s3cret" not in f"{record.getMessage()} {vars(record)}"
+
+
+def test_the_representation_of_a_tenant_has_no_key() -> None:
+    """Guards against a key in the log of whatever contains the decoded row."""
+    assert "s3cret" not in repr(msgspec.convert(TENANT, WireTenant))
