The customer's priority goes before the route's

Waiting requests are woken, and capacity is left for the most urgent ones, by (customer priority, route priority). The latest request of each kind is kept by customer priority too: otherwise each request of a less urgent customer would count as the most urgent one of its kind.

--- a/cactusvane/placement/admission.py
+++ b/cactusvane/placement/admission.py
@@ -119,7 +119,7 @@
     def wake(self) -> None:
         """Wake waiting requests so that they are placed again, the most urgent first."""
         order = sorted(
-            self.waiting, key=lambda ticket: (ticket.profile.priority, ticket.profile.deadline)
+            self.waiting, key=lambda ticket: (ticket.profile.rank, ticket.profile.deadline)
         )
         for ticket in order:
             if ticket.waiter is not None and not ticket.waiter.done():
--- a/cactusvane/placement/messages.py
+++ b/cactusvane/placement/messages.py
@@ -49,6 +49,11 @@
     customer: str = ""
     customer_priority: int = 0
 
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Priority of the customer, then of the route; the lowest rank is served first."""
+        return self.customer_priority, self.priority
+
 
 @dataclass(frozen=True, slots=True)
 class PlacementInputs:
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -34,6 +34,7 @@
 from cactusvane.placement.settings import PlacementSettings
 from cactusvane.placement.target import Target
 from cactusvane.placement.target_notices import TargetNotices
+from cactusvane.placement.urgency import Urgency
 
 FAILURE_OUTCOMES = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.TIMED_OUT})
 """Outcomes that count as evidence of failure of a target that was reached."""
@@ -70,6 +71,8 @@
         Returns how long a connection to a target has been idle; None if there is none.
     profiles
         Latest request of each kind.
+    urgency
+        Determines the most urgent requests.
     outcomes
         Recent outcomes of the service's requests, including rejections.
     latency_outcomes
@@ -93,6 +96,7 @@
         self.cooldown_carry = floor.ROUND_HALF
         self.latencies = LatencyEstimates(settings)
         self.profiles: dict[str, RequestProfile] = {}
+        self.urgency = Urgency()
         self.outcomes = RecentOutcomes()
         self.latency_outcomes = RecentOutcomes()
         self.idle_limit = IdleLimit()
@@ -137,6 +141,7 @@
             Current time in milliseconds (monotonic clock of the process).
         """
         self.profiles[profile.kind] = profile
+        self.urgency.record(profile)
         accepting = [
             target
             for target in self.targets.values()
@@ -244,11 +249,11 @@
     def max_wait_ms(self, profile: RequestProfile) -> float:
         """Return the maximum wait in a target's queue that the request may add to, in milliseconds.
 
-        The most urgent kind may wait for as long as it has time. Any other kind may use only a
-        part of the slack of the most urgent one.
+        The most urgent requests, by customer and then by kind, may wait for as long as they have
+        time. Any other may use only a part of the slack of the most urgent ones.
         """
-        urgent = min(self.profiles.values(), key=lambda each: each.priority)
-        if profile.priority <= urgent.priority:
+        urgent = self.urgency.most_urgent(profile)
+        if profile.rank <= urgent.rank:
             return profile.deadline - profile.arrived
         expected_ms = self.latencies.expected_ms(urgent.kind, urgent.latency_ms)
         slack_ms = max(0.0, urgent.latency_ms - expected_ms)
