--- a/cactusvane/exposition.py
+++ b/cactusvane/exposition.py
@@ -9,6 +9,7 @@
 from prometheus_client.exposition import generate_latest
 from prometheus_client.registry import Collector, CollectorRegistry
 
+from cactusvane.customers.records import CustomerRecords
 from cactusvane.http.memory import Budgets
 from cactusvane.metrics import US_PER_MS, Recorder
 
@@ -53,7 +54,9 @@
     attempts = CounterMetricFamily(
         "cactusvane_attempts", "Attempts by outcome", labels=(*labels, "outcome")
     )
-    refused = CounterMetricFamily("cactusvane_refused", "Requests of no service", labels=("code",))
+    refused = CounterMetricFamily(
+        "cactusvane_refused", "Requests rejected before a target was looked for", labels=("code",)
+    )
     ejections = CounterMetricFamily(
         "cactusvane_ejections", "Targets taken out on evidence", labels=("service",)
     )
@@ -75,7 +78,20 @@
         value=recorder.isolated_requests,
     )
     memory = memory_families(recorder.budgets)
-    return [*counters, target_counts(recorder), isolated, *memory, *summaries(recorder)]
+    customers = customer_answers(recorder.customers)
+    return [*counters, customers, target_counts(recorder), isolated, *memory, *summaries(recorder)]
+
+
+def customer_answers(records: CustomerRecords) -> CounterMetricFamily:
+    """Return the responses to the largest customers, and to all others, by class of status."""
+    family = CounterMetricFamily(
+        "cactusvane_customer_answers", "Answers by customer", labels=("customer", "class")
+    )
+    records.rank()
+    for customer, record in records.items():
+        for group, count in record.statuses.items():
+            family.add_metric((customer, f"{group}xx"), count)
+    return family
 
 
 def memory_families(budgets: Budgets) -> Families:
--- a/cactusvane/metrics.py
+++ b/cactusvane/metrics.py
@@ -8,6 +8,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from cactusvane.customers.records import CustomerRecords
 from cactusvane.http.memory import Budgets
 from cactusvane.outcome import Outcome
 from cactusvane.verdict import Verdict
@@ -121,6 +122,7 @@
         self.refused: dict[str, int] = {}
         self.ejections: dict[str, int] = {}
         self.targets: dict[str, TargetCounts] = {}
+        self.customers = CustomerRecords()
         self.isolated_requests = 0
         self.budgets = Budgets()
 
@@ -132,7 +134,7 @@
         return record
 
     def record_rejection(self, code: str) -> None:
-        """Record a rejected request that matches no service."""
+        """Record a request that was rejected before a target was looked for."""
         self.refused[code] = self.refused.get(code, 0) + 1
 
     def record_ejection(self, service: str) -> None:
