Requests need the key of a customer where the configuration has customers

Cause: the platform's configurations name tenants and their keys; both were ignored, and keys were forwarded to targets. Change: an unknown or missing key, or several, gets 401 with the verdict not-run. Targets get the customer's name instead of the key, whatever the caller sent. An admitted request that has not run is given back to the quota gate once. The customer is in the log line of each request; event 1609 names those whose keys a configuration changes.

--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -8,6 +8,7 @@
 
 from cactusvane.clock import MS_PER_SECOND
 from cactusvane.configuration.routes import Match
+from cactusvane.customers.identity import Identity, NoCustomers, customer_of, replace_fields
 from cactusvane.dispatch_log import log_attempt, log_end, log_late
 from cactusvane.errors import BrokenResponseError, ConnectError, RequestError
 from cactusvane.fleet.vm import Address
@@ -106,9 +107,18 @@
         The request as the caller sent it.
     caller
         The caller's connection; no attempt starts after the caller has disconnected.
+    identity
+        Whom the request is of.
     """
 
-    def __init__(self, entry: "Entry", match: Match, request: Request, caller: Caller) -> None:
+    def __init__(
+        self,
+        entry: "Entry",
+        match: Match,
+        request: Request,
+        caller: Caller,
+        identity: Identity = NoCustomers(),  # noqa: B008
+    ) -> None:
         self.entry = entry
         self.caller = caller
         self.header_names = entry.header_names
@@ -118,9 +128,11 @@
         self.admission = entry.placer.admissions[match.service.name]
         self.request = request
         set_by_entries = self.header_names.set_by_entries
-        self.headers = [
+        forwarded = [
             field for field in end_to_end(request.headers) if field[0] not in set_by_entries
         ]
+        self.headers = replace_fields(forwarded, identity, self.header_names)
+        customer = customer_of(identity)
         self.started_at = self.clock.now()
         self.time_at_targets_ms = 0.0
         self.waited_ms = 0.0
@@ -141,6 +153,8 @@
             self.started_at,
             self.attempts.deadline,
             match.route.latency_ms,
+            customer.name if customer else "",
+            customer.priority if customer else 0,
         )
         self.lease: Lease | None = None
         self.tried: frozenset[Address] = frozenset()
@@ -191,6 +205,8 @@
         log_end(self, status, verdict, code, total_ms)
         self.record.record_response(status, verdict, total_ms, total_ms - self.time_at_targets_ms)
         self.record.record_slot_wait(self.waited_ms)
+        if self.profile.customer:
+            self.entry.recorder.customers.record(self.profile.customer, status)
         service, kind = self.service, self.route.kind
         good = meets_objective(objective_of(service, kind), status, verdict, total_ms)
         self.entry.ledger.record(service.name, kind, good, self.clock.wall())
--- a/cactusvane/dispatch_log.py
+++ b/cactusvane/dispatch_log.py
@@ -25,6 +25,7 @@
         code=code,
         service=dispatch.service.name,
         kind=dispatch.route.kind,
+        customer=dispatch.profile.customer,
         total_ms=round(total_ms, 1),
         waited_ms=round(dispatch.waited_ms, 1),
         time_ms=dispatch.timeout_ms,
--- a/cactusvane/entry.py
+++ b/cactusvane/entry.py
@@ -1,14 +1,25 @@
 """The entry: accepts callers' requests, routes them, and dispatches them to targets."""
 
 import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
 from random import Random
 from typing import Protocol
 
 from cactusvane import events
 from cactusvane.clock import Clock
-from cactusvane.configuration.model import Configuration
+from cactusvane.configuration.model import Configuration, Customer
 from cactusvane.configuration.routes import Match, RoutingTable
 from cactusvane.configuration.rules import build_rule_table, choose_service
+from cactusvane.customers.gate import CustomerGate
+from cactusvane.customers.identity import (
+    Identity,
+    NoCustomers,
+    UnknownKey,
+    customer_of,
+    identify,
+)
+from cactusvane.customers.keys import KeyTable, build_key_table, compare
 from cactusvane.dispatch import Dispatch
 from cactusvane.errors import RequestError
 from cactusvane.events import Event
@@ -28,6 +39,9 @@
 from cactusvane.settings import Settings
 from cactusvane.verdict import Verdict
 
+MAX_LOGGED_CUSTOMERS = 20
+"""Names of customers in one log line; the line must stay short with any configuration."""
+
 UNCONFIGURED_RETRY_AFTER_MS = 500.0
 """Delay after which callers may retry while this VM has no configuration yet."""
 
@@ -69,6 +83,10 @@
         Times of the planned stop that has begun; None while the process is not stopping.
     dispatches
         Requests that wait for a target or are at one.
+    keys
+        Keys of the active configuration's customers.
+    gate
+        May reject requests because of their customers.
     """
 
     def __init__(
@@ -98,6 +116,8 @@
         self.version = 0
         self.routing_table = RoutingTable(Configuration())
         self.rules = build_rule_table(())
+        self.keys = KeyTable()
+        self.gate = CustomerGate()
         self.budgets: dict[str, RetryLimiter] = {}
 
     def configure(self, configuration: Configuration) -> None:
@@ -105,12 +125,29 @@
         self.configured = True
         self.routing_table.replace(configuration)
         self.rules = build_rule_table(configuration.rules)
+        self.configure_customers(configuration)
         self.placer.configure(configuration)
         self.budgets = {
             service.name: self.budgets.get(service.name) or self.placer.retry_limiter(service.name)
             for service in configuration.services
         }
 
+    def configure_customers(self, configuration: Configuration) -> None:
+        """Apply the customers of a new configuration, and log whose keys changed."""
+        before = self.keys
+        self.keys = build_key_table(configuration)
+        self.recorder.customers.retain(configuration.customers)
+        changes = compare(before, self.keys)
+        if changes.customers:
+            events.write(
+                Event.KEYS_CHANGED,
+                version=self.version,
+                customers=len(configuration.customers),
+                added=changes.added,
+                removed=changes.removed,
+                names=changes.customers[:MAX_LOGGED_CUSTOMERS],
+            )
+
     def update_vms(self, vms: tuple[Vm, ...]) -> None:
         """Apply a new list of all VMs; close idle connections to those that are not live."""
         self.idle_connections.retain({vm.address for vm in vms if vm.state is VmState.LIVE})
@@ -152,8 +189,18 @@
         self.connections.tick()
         self.idle_connections.tick()
 
-    def record_rejection(self, request: Request, status: int, code: str) -> None:
-        """Count and log a request that was rejected before a service was found."""
+    def record_rejection(self, request: Request, status: int, code: str, **details: object) -> None:
+        """Count and log a request that was rejected before a target was looked for.
+
+        Parameters
+        ----------
+        request
+            The request.
+        status, code
+            Status and code of the response.
+        details
+            More fields of the log line.
+        """
         self.recorder.record_rejection(code)
         request_id = (request.header(self.header_names.request_id) or b"").decode("latin-1")
         events.write(
@@ -164,8 +211,51 @@
             code=code,
             path=request.path,
             configuration=self.version,
+            **details,
         )
 
+    @contextmanager
+    def recording_rejection(
+        self, request: Request, found: Match, customer: Customer | None = None
+    ) -> Iterator[None]:
+        """Context manager that counts and logs the rejection of a request of a known service."""
+        try:
+            yield
+        except RequestError as error:
+            name = customer.name if customer else ""
+            self.record_rejection(
+                request,
+                error.status,
+                error.code,
+                service=found.service.name,
+                kind=found.route.kind,
+                reason=error.text,
+                customer=name,
+            )
+            if customer:
+                self.recorder.customers.record(name, error.status)
+            raise
+
+    def identify(self, request: Request, found: Match) -> Identity:
+        """Return whom a request is of.
+
+        Raises
+        ------
+        RequestError
+            The request has no key of a customer (status 401), or the configuration may be too old
+            to tell (503).
+        """
+        if not self.keys.required:
+            return NoCustomers()
+        with self.recording_rejection(request, found):
+            if not found.route.anonymous:
+                self.gate.check_current()
+            identity = identify(self.keys, found.route, request.headers, self.header_names)
+            if isinstance(identity, UnknownKey):
+                self.gate.check_unknown_key()
+                raise RequestError(401, "unknown-key", identity.reason, Verdict.NOT_RUN)
+            return identity
+
     def match(self, request: Request) -> Match | None:
         """Return service and route of a request, or None; routes take precedence over rules.
 
@@ -223,13 +313,39 @@
             raise bad_request(
                 "no-route", f"no service accepts {request.method} {request.path}", 404
             )
+        identity = self.identify(request, match)
         if caller.gone:
             text = "the caller has disconnected"
             raise RequestError(503, "caller-gone", text, Verdict.NOT_RUN)
         if match.route.idempotent:
             task = asyncio.current_task()
             caller.on_gone = task.cancel if task else None
-        dispatch = Dispatch(self, match, request, caller)
-        if match.route.idempotent or self.keyed_handler is None:
+        dispatch = Dispatch(self, match, request, caller, identity)
+        customer = customer_of(identity)
+        if customer is None:
+            return await self.run(dispatch)
+        with self.recording_rejection(request, match, customer):
+            self.gate.admit(customer)
+        return await self.run_admitted(dispatch, customer)
+
+    async def run(self, dispatch: Dispatch) -> Response:
+        """Return the response to a request that may be sent."""
+        if dispatch.route.idempotent or self.keyed_handler is None:
             return await dispatch.run()
-        return await self.keyed_handler.run(dispatch, request)
+        return await self.keyed_handler.run(dispatch, dispatch.request)
+
+    async def run_admitted(self, dispatch: Dispatch, customer: Customer) -> Response:
+        """Return the response to an admitted request; give it back if it has not run.
+
+        A request that is cancelled has not run if no target was chosen for it yet.
+        """
+        try:
+            return await self.run(dispatch)
+        except RequestError as error:
+            if error.verdict is Verdict.NOT_RUN:
+                self.gate.give_back(customer)
+            raise
+        except asyncio.CancelledError:
+            if not dispatch.tried:
+                self.gate.give_back(customer)
+            raise
--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -104,6 +104,12 @@
         "configuration version {version} allows bodies of {body_bytes} bytes; "
         "this VM has {memory_bytes} bytes for all of them",
     )
+    KEYS_CHANGED = EventKind(
+        1609,
+        logging.INFO,
+        "configuration version {version} has {customers} customers; "
+        "{added} keys were added and {removed} removed",
+    )
     TABLE_LOST = EventKind(
         1701, logging.WARNING, "{table}: the platform does not respond: {reason}"
     )
--- a/cactusvane/http/parser_errors.py
+++ b/cactusvane/http/parser_errors.py
@@ -13,7 +13,7 @@
 
     Examples
     --------
-    >>> describe(h11.RemoteProtocolError("illegal header line: bytearray(b'api-key: k\\x01')"))
+    >>> describe(h11.RemoteProtocolError("illegal header line: bytearray(b'api-key: k')"))
     'illegal header line'
     >>> describe(h11.RemoteProtocolError("Missing mandatory Host: header"))
     'Missing mandatory Host: header'
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -107,6 +107,7 @@
         self.running: list[asyncio.Task[None]] = []
         self.start_seconds = 3.0
         self.operator_version = 0
+        self.tenants: list[dict[str, object]] = []
         self.fleet_limits = FleetLimits(RetryLimit(extra=60.0), FOLLOW, PlacementSettings())
 
     async def start(self) -> None:
@@ -123,6 +124,8 @@
         self.operator_version = max(self.operator_version + 1, self.store.ver + 16)
         version = f"{self.operator_version:08x}"
         value = CONFIGURATION | {"version": version, "virtual-hosts": hosts}
+        if self.tenants:
+            value = value | {"tenants": self.tenants}
         self.store.put("op", "config", msgspec.json.encode(value))
 
     def list_targets(self) -> None:
