A source of tables confirms that rows are unchanged

A transaction with preconditions alone proves that rows were current at some time after its start; reads of changes do not, as they may miss some after a compaction. The store must respond in the era of the rows, since a restore gives out versions again.

--- a/cactusvane/following/source.py
+++ b/cactusvane/following/source.py
@@ -37,3 +37,16 @@
         HistoryLostError
             The platform no longer has the changes after this version.
         """
+
+    async def confirm(self, table: str, rows: TableRows) -> bool:
+        """Return whether the platform's rows still have these versions, by a conditional write.
+
+        Reads prove nothing: after a compaction, a read of changes may miss some for a second.
+
+        Parameters
+        ----------
+        table
+            Name of the table.
+        rows
+            Rows of one era of the store, which must not have changed; none are never confirmed.
+        """
--- a/cactusvane/following/table.py
+++ b/cactusvane/following/table.py
@@ -1,5 +1,6 @@
 """One VM's copy of a table of the platform; performs no I/O."""
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
 
@@ -54,8 +55,8 @@
     after
         Version after which `rows` holds all changes, where it does not hold the whole table.
     last_change
-        Version of the latest change in the copy that the whole table was taken from; None if it
-        was read from the store.
+        Version of the latest change in the copy that the rows were taken from; None if they were
+        read from the store.
     """
 
     version: int
@@ -122,6 +123,14 @@
         """Return the values of all rows that exist, by key."""
         return {key: row.value for key, row in self.rows.items() if row.value is not None}
 
+    def select(self, keys: Collection[str]) -> TableRows:
+        """Return the rows with the given keys that exist; the last change is the latest of them."""
+        found = tuple(
+            row for key, row in self.rows.items() if key in keys and row.value is not None
+        )
+        last_change = max((row.version for row in found), default=0)
+        return TableRows(self.version, found, whole=False, era=self.era, last_change=last_change)
+
     def accepts(self, read: TableRows) -> bool:
         """Return whether rows that were read are not older than the copy, and leave no gap.
 
--- a/tests/adapter/restored.py
+++ b/tests/adapter/restored.py
@@ -122,6 +122,9 @@
     async def read_changes(self, table: str, after: int, wait_ms: float) -> TableRows:
         raise PlatformUnavailableError("the entry is cut off")
 
+    async def confirm(self, table: str, rows: TableRows) -> bool:
+        raise PlatformUnavailableError("the entry is cut off")
+
 
 def cut_off(process: FleetProcess) -> None:
     """Cut an entry off the store; it still hears the other entries."""
--- a/tests/adapter/store_standin.py
+++ b/tests/adapter/store_standin.py
@@ -209,6 +209,19 @@
 
     async def write(self, request: Request) -> Response:
         body = msgspec.json.decode(request.body)
+        expected = [
+            (row["table"], row["part"], row["key"], row["ver"]) for row in body["precondition"]
+        ]
+        current = [self.rows.get((table, part, key), (None, 0)) for table, part, key, _ in expected]
+        if any(
+            ver != row[3] or value is None
+            for row, (value, ver) in zip(expected, current, strict=True)
+        ):
+            found = [
+                self.row(table, key, value, ver)
+                for (table, _, key, _), (value, ver) in zip(expected, current, strict=True)
+            ]
+            return replace(self.rows_response(rows=found, more=False), status=412)
         for row in body["upsert-rows"]:
             self.put(row["table"], row["key"], base64.b64decode(row["value"]), row["part"])
         if self.faults.lose_answers:
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -11,6 +11,7 @@
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.fleet_settings import CONFIGURATION_TABLE, TARGETS_TABLE
 from cactusvane.following.source import HistoryLostError
+from cactusvane.following.table import TableCopy, TableRows
 from cactusvane.http.exchange import Caller
 from cactusvane.http.message import Request, Response
 from tests.adapter.store_standin import LIMIT, StoreStandin
@@ -133,3 +134,67 @@
         assert await store.register(entry(2)) == (entry(1), entry(2))
 
     run_scenario(scenario)
+
+
+async def read_configuration(store: Store) -> TableRows:
+    copy = TableCopy()
+    copy.apply(await store.read_table(CONFIGURATION_TABLE))
+    return copy.select(("config",))
+
+
+def test_rows_are_confirmed_until_one_of_them_is_written_again() -> None:
+    """A row of the same value but another version may have had another value in between."""
+
+    async def scenario(standin: StoreStandin, store: Store) -> None:
+        standin.put("op", "config", b"1")
+        rows = await read_configuration(store)
+        standin.put("op", "other", b"1")
+        standin.put("servers", "config", b"1")
+        version = standin.ver
+        assert await store.confirm(CONFIGURATION_TABLE, rows)
+        assert standin.ver == version
+        standin.put("op", "config", b"1")
+        assert not await store.confirm(CONFIGURATION_TABLE, rows)
+
+    run_scenario(scenario)
+
+
+def test_a_removed_row_and_no_rows_at_all_are_not_confirmed() -> None:
+    """A transaction without a precondition takes effect at any time and proves nothing."""
+
+    async def scenario(standin: StoreStandin, store: Store) -> None:
+        standin.put("op", "config", b"1")
+        rows = await read_configuration(store)
+        standin.put("op", "config", None)
+        assert not await store.confirm(CONFIGURATION_TABLE, rows)
+        assert not await store.confirm(CONFIGURATION_TABLE, await read_configuration(store))
+
+    run_scenario(scenario)
+
+
+def test_a_version_that_was_given_out_again_after_a_restore_is_not_confirmed() -> None:
+    """The row of the new era with the same version may hold other keys."""
+
+    async def scenario(standin: StoreStandin, store: Store) -> None:
+        standin.put("servers", "a", b"1")
+        standin.put("op", "config", b"with the key")
+        rows = await read_configuration(store)
+        standin.restore(1)
+        standin.put("op", "config", b"without the key")
+        assert rows.rows[0].version == standin.ver
+        assert not await store.confirm(CONFIGURATION_TABLE, rows)
+
+    run_scenario(scenario)
+
+
+def test_a_store_that_does_not_respond_confirms_nothing() -> None:
+    """Neither an error nor a lost response may count as a proof."""
+
+    async def scenario(standin: StoreStandin, store: Store) -> None:
+        standin.put("op", "config", b"1")
+        rows = await read_configuration(store)
+        for standin.status in (429, 503, 500):
+            with pytest.raises(PlatformUnavailableError):
+                await store.confirm(CONFIGURATION_TABLE, rows)
+
+    run_scenario(scenario)
--- a/tests/following/test_follower.py
+++ b/tests/following/test_follower.py
@@ -46,6 +46,9 @@
         self.waits.append(wait_ms)
         return self.next_step(f"after {after}")
 
+    async def confirm(self, table: str, rows: TableRows) -> bool:
+        raise AssertionError("a follower confirms nothing")
+
 
 async def no_pull(address: Address, table: str, after: TablePosition) -> TableRows:
     raise PlatformUnavailableError("nobody")
