--- /dev/null
+++ b/cactusvane/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Customers: their keys, the revocation of keys, and quotas."""
