Entries prove that their configuration is current

The reader of a failure domain confirms the configuration's row at the store; the others query a peer by datagram. Without a lease an entry is not ready, and its gate rejects requests with a key. Active only with strict revocation and customers.

--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -104,6 +104,28 @@
         "configuration version {version} allows bodies of {body_bytes} bytes; "
         "this VM has {memory_bytes} bytes for all of them",
     )
+    LEASE_GAINED = EventKind(
+        1621,
+        logging.INFO,
+        "the configuration is known to have been current {age_ms} ms ago, from {source}; "
+        "requests with a key are accepted",
+    )
+    LEASE_LOST = EventKind(
+        1622,
+        logging.WARNING,
+        "the configuration was last known to be current {age_ms} ms ago, from {source}; "
+        "requests with a key are rejected",
+    )
+    CONFIRMATION_FAILED = EventKind(
+        1623,
+        logging.WARNING,
+        "the platform does not confirm that the configuration is current: {reason}",
+    )
+    CONFIGURATION_OUTDATED = EventKind(
+        1624,
+        logging.INFO,
+        "the platform has another configuration than version {version} of era {era}",
+    )
     TABLE_LOST = EventKind(
         1701, logging.WARNING, "{table}: the platform does not respond: {reason}"
     )
--- a/cactusvane/exposition.py
+++ b/cactusvane/exposition.py
@@ -75,7 +75,16 @@
         value=recorder.isolated_requests,
     )
     memory = memory_families(recorder.budgets)
-    return [*counters, target_counts(recorder), isolated, *memory, *summaries(recorder)]
+    age = proof_age(recorder)
+    return [*counters, target_counts(recorder), isolated, *age, *memory, *summaries(recorder)]
+
+
+def proof_age(recorder: Recorder) -> Families:
+    """Return the age of the proof that the configuration is current; nothing without a proof."""
+    if recorder.proof_age_ms is None:
+        return []
+    text = "Milliseconds since the configuration was last known to be current"
+    return [GaugeMetricFamily("cactusvane_proof_age_ms", text, value=recorder.proof_age_ms)]
 
 
 def memory_families(budgets: Budgets) -> Families:
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -13,6 +13,7 @@
 from cactusvane import events
 from cactusvane.admin import metrics_response, ready_response
 from cactusvane.clock import MS_PER_SECOND, Clock
+from cactusvane.customers.freshness import FreshnessSettings
 from cactusvane.entry import Entry
 from cactusvane.errors import CactusvaneError
 from cactusvane.events import Event
@@ -39,6 +40,7 @@
 from cactusvane.following.follower import TableChange, TableFollower
 from cactusvane.following.newest import NewestConfiguration
 from cactusvane.following.notifier import CrashNotifier
+from cactusvane.following.prover import FreshnessProver
 from cactusvane.following.puller import TablePuller
 from cactusvane.following.readers import ReaderCandidate, is_reader
 from cactusvane.http.check import bad_request
@@ -81,6 +83,8 @@
         Targets of all services, with those that are retained during an outage of the store.
     stopping
         Set when the process has received a signal to stop.
+    prover
+        Proves that the configuration is current; None where keys need not be revoked strictly.
     ended
         Whether the drain of the requests in flight is over and the process is closing.
     """
@@ -151,6 +155,7 @@
             self.random,
         )
         self.puller = TablePuller(self.domain, self.followers, self.clock, self.random)
+        self.prover = None if fleet.revoke_ms is None else self.make_prover(fleet.revoke_ms)
         self.departed = DepartedTargets(fleet.target_lapse_ms)
         self.newest = NewestConfiguration(
             self.domain,
@@ -194,14 +199,39 @@
         follower.should_read = self.should_read
         return follower
 
+    def make_prover(self, revoke_ms: float) -> FreshnessProver:
+        """Return what proves that the configuration is current.
+
+        Parameters
+        ----------
+        revoke_ms
+            Time after the removal of a key from which no request with it may run.
+        """
+        prover = FreshnessProver(
+            self.followers[CONFIGURATION_TABLE],
+            self.platform.decoder.configuration_keys,
+            self.domain,
+            self.crash_notifier.foreign_addresses,
+            self.update_sender.send,
+            self.start_task,
+            FreshnessSettings(revoke_ms),
+            self.clock,
+            self.random,
+        )
+        self.update_sender.on_freshness = prover.receive
+        return prover
+
     @property
     def ready(self) -> bool:
         """Whether callers should be sent to this VM.
 
-        The newest configuration is active, the targets are known, and the process is not stopping.
+        The newest configuration is active and known to be current where that is required, the
+        targets are known, and the process is not stopping.
         """
         if self.version == 0 or self.stopping.is_set():
             return False
+        if self.prover is not None and not self.prover.gate.is_current:
+            return False
         return self.followers[TARGETS_TABLE].copy.loaded and self.newest.is_confirmed()
 
     @property
@@ -234,6 +264,7 @@
                 if follower.copy.era
             },
             configuration_version=self.version,
+            proof_age_ms=None if self.prover is None else self.prover.proof_age_ms(),
         )
 
     def should_read(self) -> bool:
@@ -272,6 +303,8 @@
             self.start_task(self.follow(follower))
         self.start_task(self.finder.register())
         self.start_task(self.tick())
+        if self.prover is not None:
+            self.start_task(self.prover.run())
         self.start_task(self.finder.query_seeds(lambda: self.ready or self.stopping.is_set()))
         await self.stopping.wait()
         await self.stop()
@@ -300,7 +333,11 @@
 
     def configuration_changed(self, change: TableChange) -> None:
         """Activate the table's configuration if it is newer than the active one."""
-        self.offer_configuration(self.followers[CONFIGURATION_TABLE].copy.values())
+        rows = self.followers[CONFIGURATION_TABLE].copy.values()
+        found = self.platform.decoder.configuration(rows)
+        self.apply_configuration(found, rows)
+        if found is not None and self.prover is not None:
+            self.prover.record_usable(rows)
 
     def offer_configuration(self, rows: dict[str, bytes]) -> int:
         """Activate a configuration if it is newer than the active one; return the active version.
@@ -310,12 +347,25 @@
         rows
             Rows of the configuration, as they are in the store.
         """
-        found = self.platform.decoder.configuration(rows)
+        self.apply_configuration(self.platform.decoder.configuration(rows), rows)
+        return self.version
+
+    def apply_configuration(
+        self, found: VersionedConfiguration | None, rows: dict[str, bytes]
+    ) -> None:
+        """Activate a configuration if it is newer than the active one.
+
+        Parameters
+        ----------
+        found
+            The configuration; None if it cannot be used.
+        rows
+            Rows that it was decoded from, as they are in the store.
+        """
         if found is not None and found.version > self.version:
             self.configuration_rows = rows
             self.activate(found)
         self.update_sender.schedule_update(urgent=True)
-        return self.version
 
     def activate(self, found: VersionedConfiguration) -> None:
         """Activate a configuration."""
@@ -325,6 +375,8 @@
         if found.limits.body_bytes != self.server.limits.body_bytes:
             self.check_memory(found)
         self.server.limits = found.limits
+        if self.prover is not None:
+            self.prover.activate(bool(found.configuration.customers))
         events.write(Event.CONFIGURATION_ADOPTED, version=found.version)
         self.log_ready()
 
@@ -451,6 +503,9 @@
             case "GET", "/metrics":
                 now = self.clock.now()
                 self.recorder.targets = self.domain.count_targets(now)
+                self.recorder.proof_age_ms = (
+                    None if self.prover is None else self.prover.proof_age_ms()
+                )
                 self.recorder.isolated_requests = len(self.domain.crashes.isolated(now))
                 return metrics_response(self.recorder)
             case _:
--- a/cactusvane/following/decoder.py
+++ b/cactusvane/following/decoder.py
@@ -30,6 +30,10 @@
 class TableDecoder(Protocol):
     """Decodes rows; a row that cannot be used is logged and skipped."""
 
+    @property
+    def configuration_keys(self) -> tuple[str, ...]:
+        """Keys of the rows that the configuration is decoded from."""
+
     def configuration(self, rows: dict[str, bytes]) -> VersionedConfiguration | None:
         """Return the configuration, or None if there is no usable one."""
 
--- a/cactusvane/following/notifier.py
+++ b/cactusvane/following/notifier.py
@@ -100,6 +100,19 @@
         port = self.own.peer.port if self.own.peer is not None else 0
         return [Address(seed.host, port) for seed in self.seeds]
 
+    def foreign_addresses(self) -> list[Address]:
+        """Return where entries of other failure domains receive messages, as far as is known.
+
+        Without a list of the directory, these are the seeds, some of which may be of the own one.
+        """
+        foreign = [
+            vm.peer
+            for entries in self.known.values()
+            for vm in entries
+            if vm.failure_domain != self.own.failure_domain and vm.peer is not None
+        ]
+        return foreign or [each for each in self.seed_addresses() if each != self.own.peer]
+
     async def refresh(self) -> None:
         """Read the directory of all failure domains unless that was done recently."""
         now = self.clock.now()
--- a/cactusvane/metrics.py
+++ b/cactusvane/metrics.py
@@ -108,6 +108,11 @@
 class Recorder:
     """All metrics of one daemon, by service and kind of request.
 
+    Attributes
+    ----------
+    proof_age_ms
+        Age of the proof that the configuration is current; None if there is none or none is needed.
+
     Examples
     --------
     >>> recorder = Recorder()
@@ -122,6 +127,7 @@
         self.ejections: dict[str, int] = {}
         self.targets: dict[str, TargetCounts] = {}
         self.isolated_requests = 0
+        self.proof_age_ms: float | None = None
         self.budgets = Budgets()
 
     def kind(self, service: str, kind: str) -> KindRecord:
--- a/cactusvane/placement/messages.py
+++ b/cactusvane/placement/messages.py
@@ -161,6 +161,9 @@
         Era of the store that this version belongs to; without the tables of era 0.
     configuration_version
         Operators' version of the active configuration; 0 without any.
+    proof_age_ms
+        Age of the proof that the configuration is current; None without any. It only tells which
+        entry to query; as a message without a question may be late, it proves nothing.
     """
 
     can_read: bool
@@ -169,6 +172,7 @@
     table_versions: dict[str, int]
     table_eras: dict[str, int] = {}
     configuration_version: int = 0
+    proof_age_ms: float | None = None
 
     def position(self, table: str) -> TablePosition:
         """Return the position of the latest change of a table that the entry has."""
--- a/cactusvane/placement/outbox.py
+++ b/cactusvane/placement/outbox.py
@@ -72,6 +72,7 @@
                 sent,
                 response_age_ms=store_status.response_age_ms,
                 failure_age_ms=store_status.failure_age_ms,
+                proof_age_ms=store_status.proof_age_ms,
             )
             == store_status
         )
--- a/cactusvane/placement/sender.py
+++ b/cactusvane/placement/sender.py
@@ -10,12 +10,20 @@
 from cactusvane.fleet.vm import Address
 from cactusvane.placement.domain import Domain
 from cactusvane.placement.endpoint import UpdateEndpoint
-from cactusvane.placement.messages import Message, RelayedUpdate, StoreStatus
+from cactusvane.placement.messages import (
+    FreshnessAnswer,
+    FreshnessQuery,
+    Message,
+    RelayedUpdate,
+    StoreStatus,
+)
 from cactusvane.placement.relaying import Relaying
 
 MIN_DELAY_MS = 1.0
 """Minimum time between two steps; timers may fire slightly early."""
 
+OnFreshness = Callable[[FreshnessQuery | FreshnessAnswer, Address], None]
+
 
 class UpdateSender:
     """Sends state updates to the entries of the failure domain, and receives theirs.
@@ -32,6 +40,11 @@
         Called with the new updates of each message that contains any.
     clock
         Monotonic clock of the process.
+
+    Attributes
+    ----------
+    on_freshness
+        Called with each query for the age of a proof and each answer, and where it came from.
     """
 
     def __init__(
@@ -50,6 +63,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.timer_at = inf
         self.closed = False
+        self.on_freshness: OnFreshness = lambda message, address: None
 
     async def start(self) -> None:
         """Receive messages and send the first update."""
@@ -72,6 +86,9 @@
 
     def receive(self, message: Message, address: Address) -> None:
         """Process a message."""
+        if isinstance(message, FreshnessQuery | FreshnessAnswer):
+            self.on_freshness(message, address)
+            return
         updates = self.relaying.receive(message, address, self.clock.now())
         self.schedule_timer()
         if updates:
