--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -115,6 +115,9 @@
             await target.start()
 
     def configure(self, **changes: Any) -> None:
+        self.store.put("op", "config", msgspec.json.encode(self.next_configuration(**changes)))
+
+    def next_configuration(self, **changes: Any) -> dict[str, object]:
         routes = [
             route | {"service": "huvo11a", "traffic-split": None} | changes
             for route in CONFIGURATION["virtual-hosts"][0]["path-rules"]
@@ -122,8 +125,7 @@
         hosts = [{"host": "jepu9.example", "path-rules": routes}]
         self.operator_version = max(self.operator_version + 1, self.store.ver + 16)
         version = f"{self.operator_version:08x}"
-        value = CONFIGURATION | {"version": version, "virtual-hosts": hosts}
-        self.store.put("op", "config", msgspec.json.encode(value))
+        return CONFIGURATION | {"version": version, "virtual-hosts": hosts}
 
     def list_targets(self) -> None:
         for target in self.targets:
