--- a/tests/customers/test_lease_model.py
+++ b/tests/customers/test_lease_model.py
@@ -24,6 +24,10 @@
 CALL_TIMEOUT_MS = 1_000.0
 LONG_DELAY_MS = 4_000.0
 LOSS_SHARE = 0.2
+PROBE_MS = 10.0
+PROBES = 60
+"""Requests right after the time of revocation, when a lease that lasts too long shows first."""
+
 REMOVAL = 2
 """Version of the configuration without the key; version 1 has it."""
 
@@ -82,6 +86,8 @@
     ----------
     refused
         Whether the store rejects this entry.
+    blind
+        Whether the entry never learns of the removal.
     accepted_at
         Real times at which a request with the key, sent at that time, was accepted.
     lost
@@ -96,6 +102,7 @@
         self.rate = world.random.uniform(0.97, 1.03) if world.faulty else 1.0
         self.offset = world.random.uniform(0.0, 1e6)
         self.refused = False
+        self.blind = world.faulty and world.random.random() < 0.5
         self.paused_until = 0.0
         self.others: list[Node] = []
         self.accepted_at: list[float] = []
@@ -121,19 +128,22 @@
             call()
 
     def step(self) -> None:
-        """Perform the pending work, and check a request that is sent right now."""
+        """Perform the pending work."""
         self.world.after(STEP_MS, lambda: self.awake(self.step))
         if self.world.faulty:
             self.suffer()
-        holds = self.lease.holds(self.boot())
-        self.lost += not holds
-        if holds and self.version < REMOVAL:
-            self.accepted_at.append(self.world.now)
+        self.lost += not self.lease.holds(self.boot())
+        self.probe()
         if self.version and self.schedule.should_call(lambda: self.reads, self.boot()):
             self.call_store()
         if self.schedule.should_query(lambda: self.reads, self.boot()):
             self.query()
 
+    def probe(self) -> None:
+        """Check a request that is sent right now."""
+        if self.version < REMOVAL and self.lease.holds(self.boot()):
+            self.accepted_at.append(self.world.now)
+
     def suffer(self) -> None:
         """Pause, restart, or change what the entry can do, from time to time."""
         random = self.world.random
@@ -157,6 +167,8 @@
 
     def learn(self, version: int, process: ProofSchedule) -> None:
         """Apply a version that a read of this process returned."""
+        if self.blind and version == REMOVAL:
+            return
         if process is self.schedule and version > self.version:
             self.version = version
             self.lease.advance(TablePosition(1, version))
@@ -215,6 +227,9 @@
         node.others = [each for each in found if each is not node]
         world.after(random.uniform(0.0, STEP_MS), node.step)
         world.after(random.uniform(0.0, STEP_MS), node.follow)
+        for number in range(PROBES):
+            at = removed_at + REVOKE_MS + number * PROBE_MS
+            world.after(at, lambda node=node: node.awake(node.probe))  # type: ignore[misc]
     world.run()
     return found
 
