--- a/cactusvane/customers/__init__.py
+++ b/cactusvane/customers/__init__.py
@@ -1,1 +1,1 @@
-"""Customers of the fleet: their keys, and whether their requests are admitted."""
+"""Customers: their keys, the revocation of keys, and whether requests are admitted."""
--- a/cactusvane/exposition.py
+++ b/cactusvane/exposition.py
@@ -79,7 +79,9 @@
     )
     memory = memory_families(recorder.budgets)
     customers = customer_answers(recorder.customers)
-    return [*counters, customers, target_counts(recorder), isolated, *memory, *summaries(recorder)]
+    age = proof_age(recorder)
+    gauges = [target_counts(recorder), isolated, *age, *memory]
+    return [*counters, customers, *gauges, *summaries(recorder)]
 
 
 def customer_answers(records: CustomerRecords) -> CounterMetricFamily:
@@ -94,6 +96,14 @@
     return family
 
 
+def proof_age(recorder: Recorder) -> Families:
+    """Return the age of the proof that the configuration is current; nothing without a proof."""
+    if recorder.proof_age_ms is None:
+        return []
+    text = "Milliseconds since the configuration was last known to be current"
+    return [GaugeMetricFamily("cactusvane_proof_age_ms", text, value=recorder.proof_age_ms)]
+
+
 def memory_families(budgets: Budgets) -> Families:
     """Return what exchanges hold of the memory, by purpose, and how often it was not enough."""
     held = GaugeMetricFamily(
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -116,6 +116,9 @@
             await target.start()
 
     def configure(self, **changes: Any) -> None:
+        self.store.put("op", "config", msgspec.json.encode(self.next_configuration(**changes)))
+
+    def next_configuration(self, **changes: Any) -> dict[str, object]:
         routes = [
             route | {"service": "huvo11a", "traffic-split": None} | changes
             for route in CONFIGURATION["virtual-hosts"][0]["path-rules"]
@@ -126,7 +129,7 @@
         value = CONFIGURATION | {"version": version, "virtual-hosts": hosts}
         if self.tenants:
             value = value | {"tenants": self.tenants}
-        self.store.put("op", "config", msgspec.json.encode(value))
+        return value
 
     def list_targets(self) -> None:
         for target in self.targets:
