--- a/tests/following/test_notifier.py
+++ b/tests/following/test_notifier.py
@@ -7,7 +7,12 @@
 from cactusvane.clock import ManualClock
 from cactusvane.errors import PlatformUnavailableError
 from cactusvane.fleet.vm import Address, Vm
-from cactusvane.following.notifier import DIRECTORY_REFRESH_MS, DIRECTORY_RETRY_MS, CrashNotifier
+from cactusvane.following.notifier import CrashNotifier
+from cactusvane.following.other_entries import (
+    DIRECTORY_REFRESH_MS,
+    DIRECTORY_RETRY_MS,
+    OtherEntries,
+)
 from cactusvane.placement.messages import Message
 from cactusvane.request.crashes import CrashRecord
 from cactusvane.settings import Settings
@@ -44,9 +49,8 @@
             crashes.record_crash(DEADLY, f"t{number}", 100.0 * number)
         settings = Settings("own", "estrie", OWN, OWN, OWN, OWN, peers=(SEED,))
         domains = ("estrie", "monteregie", "beauce")
-        self.notifier = CrashNotifier(
-            settings, domains, self.directory, crashes, self.send, self.clock, Random(1)
-        )
+        entries = OtherEntries(settings, domains, self.directory, self.clock)
+        self.notifier = CrashNotifier(entries, crashes, self.send, self.clock, Random(1))
 
     def send(self, message: Message, to: Iterable[Address]) -> None:
         self.sent.append(sorted(to))
