--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -193,6 +193,20 @@
     )
     REQUEST_ATTEMPTED = EventKind(1804, logging.INFO, "{request}: {target}: {outcome}")
     REQUEST_ENDED = EventKind(1805, logging.INFO, "{request}: {status}, {verdict}")
+    QUOTA_EXCEEDED = EventKind(
+        2101,
+        logging.INFO,
+        "{customer} is over its quota: level {level} of {capacity}, "
+        "demand {demand_per_s} per second, {rejected} requests rejected since the previous line",
+    )
+    QUOTA_REACH_CHANGED = EventKind(
+        2102,
+        logging.WARNING,
+        "quotas are shared with {share} of the fleet, after {before}; the others are silent",
+    )
+    QUOTA_LEVELS_ADOPTED = EventKind(
+        2103, logging.INFO, "took over the levels of quotas from {sender}: {customers} not full"
+    )
     LINES_DROPPED = EventKind(1901, logging.WARNING, "{lines} log lines were dropped")
     SETTINGS_KEPT = EventKind(
         1007, logging.WARNING, "{vm} keeps its settings, which it reads only when it starts"
--- /dev/null
+++ b/cactusvane/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of customers, kept by all entries of the fleet together."""
