--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -25,6 +25,7 @@
 from cactusvane.placement.retries import RetryLimit, SharedRetries
 from cactusvane.placement.settings import PlacementSettings
 from cactusvane.placement.target_notices import TargetNotices
+from cactusvane.quota.quotas import FleetQuotas
 from cactusvane.request.crashes import CrashRecord
 
 PEER_EXPIRY_MS = 30_000.0
@@ -55,6 +56,8 @@
     ----------
     idle_ms
         Returns how long a connection to a target has been idle; None if there is none.
+    quotas
+        Quotas of customers; None if the configuration has none.
     """
 
     def __init__(
@@ -85,6 +88,7 @@
         self.targets_by_service: dict[str, tuple[Vm, ...]] = {}
         self.peers: dict[str, Peer] = {}
         self.outbox = Outbox()
+        self.quotas: FleetQuotas | None = None
 
     def configure(self, configuration: Configuration, now: float) -> None:
         """Create a placement for each service; the state of services that stay is kept."""
@@ -214,11 +218,18 @@
         self.rate_limits.receive(update.rate_limits or {}, update.sender, now)
         self.crashes.receive(update.crash_reports, now, pass_on=False)
         self.notices.receive(update.leaving or {}, update.sender, now)
+        if self.quotas is not None:
+            self.quotas.receive_update(update, now)
         if last is not None and last.started != update.started:
             peer.known_observations = 0
         self.record_observations(peer, update, now)
         return True
 
+    def record_contact(self, now: float) -> None:
+        """Record that a message from another entry of the group arrived."""
+        if self.quotas is not None:
+            self.quotas.heard(now)
+
     def record_observations(self, peer: Peer, update: StateUpdate, now: float) -> None:
         """Apply those observations of another entry that are not known yet."""
         known = max(0, peer.known_observations - update.observations_before)
@@ -237,6 +248,8 @@
         self.rate_limits.expire(now)
         self.crashes.expire(now)
         self.notices.expire(self.placement_by_target, now)
+        if self.quotas is not None:
+            self.quotas.tick(now)
         group = self.group()
         for vm, peer in tuple(self.peers.items()):
             if now - peer.last_seen_at <= PEER_TIMEOUT_MS:
@@ -259,6 +272,10 @@
         own = self.rank % groups
         return {vm: peer for vm, peer in self.peers.items() if peer.rank % groups == own}
 
+    def group_key(self) -> tuple[str, int]:
+        """Return the failure domain and the number of the group of this entry."""
+        return self.failure_domain, self.rank % count_groups(len(self.peers) + 1)
+
     def live_group(self, now: float) -> Group:
         """Return the live entries of the group, including this one."""
         groups = count_groups(len(self.peers) + 1)
@@ -325,6 +342,7 @@
         outbox = self.outbox
         status = outbox.status_to_send(store_status, now)
         observations, observations_before = outbox.take_observations()
+        quotas = self.quotas
         return StateUpdate(
             self.vm,
             outbox.next_number(),
@@ -338,4 +356,6 @@
             self.rate_limits.reports(status is not None, now),
             self.crashes.take_news(status is not None, self.random, now),
             self.notices.reports(status is not None, now),
+            usage=None if quotas is None else quotas.take_usage(status is not None, now),
+            levels=None if quotas is None else quotas.take_levels(status is not None, now),
         )
--- a/cactusvane/placement/relaying.py
+++ b/cactusvane/placement/relaying.py
@@ -17,7 +17,7 @@
 no I/O; the current time is passed in.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from math import ceil, inf
 
@@ -25,8 +25,10 @@
 
 from cactusvane.fleet.vm import Address
 from cactusvane.placement.domain import Domain
+from cactusvane.placement.group_reports import GroupReports
 from cactusvane.placement.messages import (
     CrashNotice,
+    CustomerUsage,
     DomainReport,
     FreshnessAnswer,
     FreshnessQuery,
@@ -72,6 +74,9 @@
 MAX_BATCH_ITEMS = 400
 """Maximum number of items in a batch; at 100 bytes each, it fits in a datagram."""
 
+CUSTOMERS_PER_ITEM = 4
+"""Customers whose usage or level counts as one item; each takes some 25 bytes."""
+
 ITEMS_PER_REPORT = 2
 """Items as which a report about one request counts."""
 
@@ -165,6 +170,8 @@
         Batches to forward for a relay.
     next_forwarder
         Index of the entry that is the next to forward a batch.
+    reports
+        Exchange of reports with other groups; None if there is none.
     """
 
     def __init__(
@@ -194,6 +201,7 @@
         self.introductions: list[Address] = []
         self.pending_forwards: list[Outgoing] = []
         self.next_forwarder = 0
+        self.reports: GroupReports | None = None
 
     def schedule_update(self, urgent: bool, now: float) -> None:
         """Send an update soon, sooner if it is urgent."""
@@ -220,6 +228,8 @@
             times.append(self.next_round_at())
         if self.relay != self.domain.vm:
             times += [self.retransmit_at, self.relay_last_seen_at() + RELAY_TIMEOUT_MS]
+        elif self.reports is not None:
+            times.append(self.reports.next_step_at(now))
         return min(times)
 
     def next_update_at(self) -> float:
@@ -228,7 +238,8 @@
 
     def next_round_at(self) -> float:
         """Return when to send the next batch; sooner if there are new updates."""
-        has_new = self.direct_updates.new or self.indirect_updates.new
+        has_reports = self.reports is not None and self.reports.pending
+        has_new = self.direct_updates.new or self.indirect_updates.new or has_reports
         return self.last_round_at + (ROUND_INTERVAL_MS if has_new else IDLE_ROUND_INTERVAL_MS)
 
     def relay_last_seen_at(self) -> float:
@@ -244,6 +255,9 @@
             yield from self.send_update(now)
         elif self.unacknowledged is not None and now >= self.retransmit_at:
             yield from self.send_to_relay(self.unacknowledged, now)
+        if self.reports is not None:
+            for outgoing in self.reports.step(now):
+                yield Outgoing(outgoing.message, outgoing.to)
         if self.is_relay(now):
             yield from self.send_round(now)
 
@@ -304,11 +318,12 @@
         peers = list(self.domain.group().values())
         clients = self.relay_clients(now)
         direct, indirect = self.direct_updates.next_round(), self.indirect_updates.next_round()
+        reports = () if self.reports is None else self.reports.take_pending()
         if 2 * len(clients) >= len(peers):
-            yield from self.fan_out([*indirect, *direct], peers, now)
+            yield from self.fan_out([*indirect, *direct], peers, now, reports)
             return
-        if direct:
-            yield from self.fan_out(direct, peers, now)
+        if direct or reports:
+            yield from self.fan_out(direct, peers, now, reports)
         if clients and (indirect or not direct):
             yield from self.fan_out(indirect, clients, now)
 
@@ -323,15 +338,32 @@
         return [group[vm] for vm in self.client_seen_at if vm in group]
 
     def fan_out(
-        self, updates: list[RelayedUpdate], to: list[Peer], now: float
+        self,
+        updates: list[RelayedUpdate],
+        to: list[Peer],
+        now: float,
+        reports: tuple[DomainReport, ...] = (),
     ) -> Iterator[Outgoing]:
-        """Send updates to the given entries, in batches that fit in a datagram."""
+        """Send updates and reports to the given entries, in batches that fit in a datagram."""
+        for batch in self.make_batches(updates, reports):
+            yield from self.fan_out_batch(batch, to, now)
+
+    def make_batches(
+        self, updates: list[RelayedUpdate], reports: tuple[DomainReport, ...]
+    ) -> Iterator[UpdateBatch]:
+        """Return batches that fit in a datagram; the reports are in the first one if they fit."""
         for part in split_updates(updates):
-            yield from self.fan_out_batch(part, to, now)
-
-    def fan_out_batch(
-        self, updates: list[RelayedUpdate], to: list[Peer], now: float
-    ) -> Iterator[Outgoing]:
+            size = sum(count_items(each.update) for each in part)
+            size += sum(count_report_items(report) for report in reports)
+            if size <= MAX_BATCH_ITEMS:
+                yield UpdateBatch(self.domain.vm, tuple(part), reports=reports)
+                reports = ()
+            else:
+                yield self.make_batch(part)
+        for report in reports:
+            yield UpdateBatch(self.domain.vm, (), reports=(report,))
+
+    def fan_out_batch(self, batch: UpdateBatch, to: list[Peer], now: float) -> Iterator[Outgoing]:
         """Send a batch to the given entries, with some of the live ones as forwarders."""
         peers = list(to)
         self.domain.random.shuffle(peers)
@@ -339,11 +371,10 @@
         chosen = {peer.address for peer in forwarders}
         others = [peer.address for peer in peers if peer.address not in chosen]
         if not forwarders:
-            yield Outgoing(self.make_batch(updates), tuple(others))
+            yield Outgoing(batch, tuple(others))
         for number, forwarder in enumerate(forwarders):
             forward_to = tuple(others[number :: len(forwarders)])
-            batch = UpdateBatch(self.domain.vm, tuple(updates), forward_to)
-            yield Outgoing(batch, (forwarder.address,))
+            yield Outgoing(replace(batch, forward_to=forward_to), (forwarder.address,))
 
     def next_forwarders(self, peers: list[Peer], now: float) -> list[Peer]:
         """Return the forwarders of this batch, in rotation; none if there are few receivers."""
@@ -369,6 +400,7 @@
                 return []
             case StateUpdate():
                 self.client_seen_at[message.sender] = now
+                self.domain.record_contact(now)
                 self.domain.add_peer(message.sender, address, now)
                 relayed_update = relayed(message, address)
                 if not self.receive_update(relayed_update, now):
@@ -376,18 +408,32 @@
                     return []
                 self.direct_updates.add(relayed_update)
                 return [relayed_update]
-            case DomainReport() | FreshnessQuery() | FreshnessAnswer():
+            case DomainReport():
+                self.receive_report(message, address, now)
+                return []
+            case FreshnessQuery() | FreshnessAnswer():
                 return []
             case UpdateBatch():
                 self.last_batch_at[message.sender] = now
+                self.domain.record_contact(now)
                 if message.forward_to:
-                    batch = UpdateBatch(message.sender, message.updates)
+                    batch = replace(message, forward_to=())
                     self.pending_forwards.append(Outgoing(batch, message.forward_to))
+                if self.reports is not None:
+                    self.reports.receive_batch(message.reports, now)
                 new_updates = [each for each in message.updates if self.receive_update(each, now)]
                 if self.is_relay(now):
                     self.indirect_updates.add(*new_updates)
                 return new_updates
 
+    def receive_report(self, report: DomainReport, address: Address, now: float) -> None:
+        """Process a report of another group."""
+        if self.reports is not None:
+            self.pending_forwards += [
+                Outgoing(outgoing.message, outgoing.to)
+                for outgoing in self.reports.receive(report, address, now)
+            ]
+
     def receive_update(self, relayed_update: RelayedUpdate, now: float) -> bool:
         """Apply one update, and return whether it was new."""
         update = relayed_update.update
@@ -449,7 +495,18 @@
         update.leaving,
     )
     reports = ITEMS_PER_REPORT * len(update.crash_reports)
-    return 2 + reports + sum(len(part) for part in parts if part)
+    customers = count_customer_items(update.usage) + count_customer_items(update.levels)
+    return 2 + reports + customers + sum(len(part) for part in parts if part)
+
+
+def count_customer_items(values: Mapping[str, object] | None) -> int:
+    """Return the number of items as which values by customer count."""
+    return ceil(len(values) / CUSTOMERS_PER_ITEM) if values else 0
+
+
+def count_report_items(report: DomainReport) -> int:
+    """Return the number of items in a report of another group."""
+    return 2 + count_customer_items(report.usage) + len(report.room)
 
 
 def relayed(update: StateUpdate, address: Address) -> RelayedUpdate:
@@ -470,4 +527,15 @@
         rate_limits=earlier.rate_limits if later.rate_limits is None else later.rate_limits,
         leaving=earlier.leaving if later.leaving is None else later.leaving,
         crash_reports=(earlier.crash_reports + later.crash_reports)[-MAX_CRASH_REPORTS:],
+        usage=merge_usage(earlier.usage, later.usage),
+        levels=earlier.levels if later.levels is None else later.levels,
     )
+
+
+def merge_usage(
+    earlier: dict[str, CustomerUsage] | None, later: dict[str, CustomerUsage] | None
+) -> dict[str, CustomerUsage] | None:
+    """Return the latest counts of each customer; they are cumulative."""
+    if earlier is None or later is None:
+        return earlier if later is None else later
+    return {**earlier, **later}
