--- a/cactusvane/exposition.py
+++ b/cactusvane/exposition.py
@@ -10,7 +10,7 @@
 from prometheus_client.registry import Collector, CollectorRegistry
 
 from cactusvane.http.memory import Budgets
-from cactusvane.metrics import US_PER_MS, Recorder
+from cactusvane.metrics import US_PER_MS, QuotaCounts, Recorder
 
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
 
@@ -75,7 +75,24 @@
         value=recorder.isolated_requests,
     )
     memory = memory_families(recorder.budgets)
-    return [*counters, target_counts(recorder), isolated, *memory, *summaries(recorder)]
+    quota = [] if recorder.quota is None else quota_families(recorder.quota)
+    return [*counters, target_counts(recorder), isolated, *memory, *quota, *summaries(recorder)]
+
+
+def quota_families(counts: QuotaCounts) -> Families:
+    """Return the requests of customers with a quota, and who shares the quotas."""
+    admitted = CounterMetricFamily(
+        "cactusvane_quota_admitted", "Requests within the quotas", value=counts.admitted
+    )
+    rejected = CounterMetricFamily(
+        "cactusvane_quota_rejected", "Requests over the quotas", labels=("customer",)
+    )
+    for customer, count in counts.rejected.items():
+        rejected.add_metric((customer,), count)
+    reach = GaugeMetricFamily(
+        "cactusvane_quota_reach", "Share of the fleet that shares the quotas", value=counts.reach
+    )
+    return [admitted, rejected, reach]
 
 
 def memory_families(budgets: Budgets) -> Families:
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -39,6 +39,7 @@
 from cactusvane.following.follower import TableChange, TableFollower
 from cactusvane.following.newest import NewestConfiguration
 from cactusvane.following.notifier import CrashNotifier
+from cactusvane.following.other_entries import OtherEntries
 from cactusvane.following.puller import TablePuller
 from cactusvane.following.readers import ReaderCandidate, is_reader
 from cactusvane.http.check import bad_request
@@ -49,9 +50,11 @@
 from cactusvane.http.server import Server
 from cactusvane.metrics import Recorder
 from cactusvane.placement.domain import Domain
+from cactusvane.placement.group_reports import GroupReports, OwnGroup
 from cactusvane.placement.messages import RelayedUpdate, StoreStatus
 from cactusvane.placement.placer import SharedPlacer
 from cactusvane.placement.sender import UpdateSender
+from cactusvane.quota.gate import QuotaGate
 from cactusvane.settings import Settings
 from cactusvane.signals import Signals
 
@@ -141,15 +144,26 @@
             self.update_sender.introduce,
             self.clock,
         )
+        self.other_entries = OtherEntries(
+            settings, fleet.failure_domains, platform.directory, self.clock
+        )
         self.crash_notifier = CrashNotifier(
-            settings,
-            fleet.failure_domains,
-            platform.directory,
+            self.other_entries,
             self.domain.crashes,
             self.update_sender.send,
             self.clock,
             self.random,
         )
+        self.group_reports = self.make_group_reports(started)
+        self.quota_gate = QuotaGate(
+            fleet,
+            self.domain,
+            self.group_reports,
+            self.update_sender.schedule_update,
+            self.relay,
+            self.clock,
+            self.random,
+        )
         self.puller = TablePuller(self.domain, self.followers, self.clock, self.random)
         self.departed = DepartedTargets(fleet.target_lapse_ms)
         self.newest = NewestConfiguration(
@@ -194,6 +208,33 @@
         follower.should_read = self.should_read
         return follower
 
+    def make_group_reports(self, started: int) -> GroupReports:
+        """Return the exchange of reports with other groups.
+
+        Parameters
+        ----------
+        started
+            Start time of this process in milliseconds since the epoch.
+        """
+        reports = GroupReports(
+            self.settings.vm,
+            started,
+            self.own_group,
+            self.other_entries.entries,
+            self.other_entries.seed_addresses,
+            self.random,
+        )
+        self.update_sender.relaying.reports = reports
+        return reports
+
+    def relay(self) -> str:
+        """Return the VM that is the relay of this VM's group."""
+        return self.update_sender.relaying.relay
+
+    def own_group(self) -> OwnGroup:
+        """Return the group of this VM."""
+        return OwnGroup(self.domain.group_key(), self.domain.group(), self.relay())
+
     @property
     def ready(self) -> bool:
         """Whether callers should be sent to this VM.
@@ -322,6 +363,7 @@
         self.entry.version = found.version
         self.newest.activated(found.version)
         self.entry.configure(found.configuration)
+        self.quota_gate.configure(found.configuration)
         if found.limits.body_bytes != self.server.limits.body_bytes:
             self.check_memory(found)
         self.server.limits = found.limits
@@ -405,6 +447,13 @@
             self.log_ready()
             if due := self.crash_notifier.due():
                 self.start_task(self.crash_notifier.tell(due))
+            self.find_other_groups()
+
+    def find_other_groups(self) -> None:
+        """Read the directory for reports to other groups; only the relay sends any."""
+        is_relay = self.relay() == self.settings.vm
+        if self.group_reports.active and is_relay and self.other_entries.is_due():
+            self.start_task(self.other_entries.refresh())
 
     def track_outages(self, now: float) -> None:
         """Record outages of the store, and drop targets that did not register again after one."""
@@ -451,6 +500,8 @@
             case "GET", "/metrics":
                 now = self.clock.now()
                 self.recorder.targets = self.domain.count_targets(now)
+                if self.fleet.quota is not None:
+                    self.recorder.quota = self.quota_gate.counts()
                 self.recorder.isolated_requests = len(self.domain.crashes.isolated(now))
                 return metrics_response(self.recorder)
             case _:
--- a/cactusvane/metrics.py
+++ b/cactusvane/metrics.py
@@ -105,6 +105,25 @@
     paused: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaCounts:
+    """Requests of customers with a quota.
+
+    Parameters
+    ----------
+    admitted
+        Requests within the quota.
+    rejected
+        Requests over it, by customer; the customers with few of them are summed up.
+    reach
+        Share of the fleet that quotas are shared with at the moment.
+    """
+
+    admitted: int
+    rejected: dict[str, int]
+    reach: float
+
+
 class Recorder:
     """All metrics of one daemon, by service and kind of request.
 
@@ -122,6 +141,7 @@
         self.ejections: dict[str, int] = {}
         self.targets: dict[str, TargetCounts] = {}
         self.isolated_requests = 0
+        self.quota: QuotaCounts | None = None
         self.budgets = Budgets()
 
     def kind(self, service: str, kind: str) -> KindRecord:
