--- a/cactusvane/customers/freshness_gate.py
+++ b/cactusvane/customers/freshness_gate.py
@@ -62,12 +62,26 @@
         RequestError
             The configuration may be outdated; the request has not run.
         """
-        if self.is_current:
-            return
-        self.log_change()
+        if not self.is_current:
+            self.log_change()
+            raise self.rejection()
+
+    def check_unknown_key(self) -> None:
+        """Check that a key which the configuration lacks cannot have been added meanwhile.
+
+        Raises
+        ------
+        RequestError
+            The configuration may be outdated; the request has not run.
+        """
+        if not self.may_reject_key:
+            raise self.rejection()
+
+    def rejection(self) -> RequestError:
+        """Return the error for a request that the configuration may be too old for."""
         self.on_missing()
         text = "this VM does not know whether its configuration is current"
-        raise RequestError(503, "configuration-not-current", text, Verdict.NOT_RUN, RETRY_AFTER_MS)
+        return RequestError(503, "configuration-not-current", text, Verdict.NOT_RUN, RETRY_AFTER_MS)
 
     def log_change(self) -> None:
         """Log that the lease was gained or lost since the last call."""
--- a/cactusvane/exposition.py
+++ b/cactusvane/exposition.py
@@ -11,7 +11,7 @@
 
 from cactusvane.customers.records import CustomerRecords
 from cactusvane.http.memory import Budgets
-from cactusvane.metrics import US_PER_MS, Recorder
+from cactusvane.metrics import US_PER_MS, QuotaCounts, Recorder
 
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
 
@@ -80,8 +80,9 @@
     memory = memory_families(recorder.budgets)
     customers = customer_answers(recorder.customers)
     age = proof_age(recorder)
+    quota = [] if recorder.quota is None else quota_families(recorder.quota)
     gauges = [target_counts(recorder), isolated, *age, *memory]
-    return [*counters, customers, *gauges, *summaries(recorder)]
+    return [*counters, customers, *quota, *gauges, *summaries(recorder)]
 
 
 def customer_answers(records: CustomerRecords) -> CounterMetricFamily:
@@ -104,6 +105,22 @@
     return [GaugeMetricFamily("cactusvane_proof_age_ms", text, value=recorder.proof_age_ms)]
 
 
+def quota_families(counts: QuotaCounts) -> Families:
+    """Return the requests of customers with a quota, and who shares the quotas."""
+    admitted = CounterMetricFamily(
+        "cactusvane_quota_admitted", "Requests within the quotas", value=counts.admitted
+    )
+    rejected = CounterMetricFamily(
+        "cactusvane_quota_rejected", "Requests over the quotas", labels=("customer",)
+    )
+    for customer, count in counts.rejected.items():
+        rejected.add_metric((customer,), count)
+    reach = GaugeMetricFamily(
+        "cactusvane_quota_reach", "Share of the fleet that shares the quotas", value=counts.reach
+    )
+    return [admitted, rejected, reach]
+
+
 def memory_families(budgets: Budgets) -> Families:
     """Return what exchanges hold of the memory, by purpose, and how often it was not enough."""
     held = GaugeMetricFamily(
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -40,6 +40,7 @@
 from cactusvane.following.follower import TableChange, TableFollower
 from cactusvane.following.newest import NewestConfiguration
 from cactusvane.following.notifier import CrashNotifier
+from cactusvane.following.other_entries import OtherEntries
 from cactusvane.following.prover import FreshnessProver
 from cactusvane.following.puller import TablePuller
 from cactusvane.following.readers import ReaderCandidate, is_reader
@@ -51,9 +52,11 @@
 from cactusvane.http.server import Server
 from cactusvane.metrics import Recorder
 from cactusvane.placement.domain import Domain
+from cactusvane.placement.group_reports import GroupReports, OwnGroup
 from cactusvane.placement.messages import RelayedUpdate, StoreStatus
 from cactusvane.placement.placer import SharedPlacer
 from cactusvane.placement.sender import UpdateSender
+from cactusvane.quota.gate import QuotaGate
 from cactusvane.settings import Settings
 from cactusvane.signals import Signals
 
@@ -145,17 +148,31 @@
             self.update_sender.introduce,
             self.clock,
         )
+        self.other_entries = OtherEntries(
+            settings, fleet.failure_domains, platform.directory, self.clock
+        )
         self.crash_notifier = CrashNotifier(
-            settings,
-            fleet.failure_domains,
-            platform.directory,
+            self.other_entries,
             self.domain.crashes,
             self.update_sender.send,
             self.clock,
             self.random,
         )
+        self.group_reports = self.make_group_reports(started)
+        self.quota_gate = QuotaGate(
+            fleet,
+            self.domain,
+            self.group_reports,
+            self.update_sender.schedule_update,
+            self.relay,
+            self.clock,
+            self.random,
+        )
         self.puller = TablePuller(self.domain, self.followers, self.clock, self.random)
         self.prover = None if fleet.revoke_ms is None else self.make_prover(fleet.revoke_ms)
+        self.entry.gate.quota = self.quota_gate
+        if self.prover is not None:
+            self.entry.gate.freshness = self.prover.gate
         self.departed = DepartedTargets(fleet.target_lapse_ms)
         self.newest = NewestConfiguration(
             self.domain,
@@ -211,7 +228,7 @@
             self.followers[CONFIGURATION_TABLE],
             self.platform.decoder.configuration_keys,
             self.domain,
-            self.crash_notifier.foreign_addresses,
+            self.other_entries.foreign_addresses,
             self.update_sender.send,
             self.start_task,
             FreshnessSettings(revoke_ms),
@@ -221,6 +238,33 @@
         self.update_sender.on_freshness = prover.receive
         return prover
 
+    def make_group_reports(self, started: int) -> GroupReports:
+        """Return the exchange of reports with other groups.
+
+        Parameters
+        ----------
+        started
+            Start time of this process in milliseconds since the epoch.
+        """
+        reports = GroupReports(
+            self.settings.vm,
+            started,
+            self.own_group,
+            self.other_entries.entries,
+            self.other_entries.seed_addresses,
+            self.random,
+        )
+        self.update_sender.relaying.reports = reports
+        return reports
+
+    def relay(self) -> str:
+        """Return the VM that is the relay of this VM's group."""
+        return self.update_sender.relaying.relay
+
+    def own_group(self) -> OwnGroup:
+        """Return the group of this VM."""
+        return OwnGroup(self.domain.group_key(), self.domain.group(), self.relay())
+
     @property
     def ready(self) -> bool:
         """Whether callers should be sent to this VM.
@@ -372,6 +416,7 @@
         self.entry.version = found.version
         self.newest.activated(found.version)
         self.entry.configure(found.configuration)
+        self.quota_gate.configure(found.configuration)
         if found.limits.body_bytes != self.server.limits.body_bytes:
             self.check_memory(found)
         self.server.limits = found.limits
@@ -457,6 +502,13 @@
             self.log_ready()
             if due := self.crash_notifier.due():
                 self.start_task(self.crash_notifier.tell(due))
+            self.find_other_groups()
+
+    def find_other_groups(self) -> None:
+        """Read the directory for reports to other groups; only the relay sends any."""
+        is_relay = self.relay() == self.settings.vm
+        if self.group_reports.active and is_relay and self.other_entries.is_due():
+            self.start_task(self.other_entries.refresh())
 
     def track_outages(self, now: float) -> None:
         """Record outages of the store, and drop targets that did not register again after one."""
@@ -506,6 +558,8 @@
                 self.recorder.proof_age_ms = (
                     None if self.prover is None else self.prover.proof_age_ms()
                 )
+                if self.fleet.quota is not None:
+                    self.recorder.quota = self.quota_gate.counts()
                 self.recorder.isolated_requests = len(self.domain.crashes.isolated(now))
                 return metrics_response(self.recorder)
             case _:
