--- a/cactusvane/configuration/tree.py
+++ b/cactusvane/configuration/tree.py
@@ -107,7 +107,7 @@
     Examples
     --------
     >>> build_tree(Configuration()).configuration
-    Configuration(services=(), rules=())
+    Configuration(services=(), rules=(), customers=())
     """
     named: list[list[ServiceDigest]] = [[] for _ in range(SHARDS)]
     services: dict[str, Service] = {}
