--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -84,3 +84,18 @@
 
     reply = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhiHTTP/1.1 200 OK\r\n\r\n"
     assert asyncio.run(with_peer(reply, use)).body == b"hi"
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\ns3cret-key\r\n",
+        b"HTTP/1.1 200 OK\r\ns3cret-key\r\n\r\n",
+        b"s3cret-key\r\n\r\n",
+    ],
+)
+def test_errors_do_not_quote_the_response(reply: bytes) -> None:
+    """Guards against the keys of a configuration in the log when its transfer is broken."""
+    with pytest.raises(BrokenResponseError) as caught:
+        fetch_from_peer(reply)
+    assert "s3cret" not in repr(caught.value)
