Entries without a lease ask a peer first; an old proof is renewed by any entry

A reader whose reads succeed while its confirmations fail would otherwise leave its failure domain without a proof. Tests of the schedule and of the prover.

--- a/cactusvane/customers/proof_schedule.py
+++ b/cactusvane/customers/proof_schedule.py
@@ -15,6 +15,17 @@
 RETRY_MS = 250.0
 """Mean delay after a failed call; a fifth of the time from a failure until the lease expires."""
 
+LAST_RESORT_SHARE = 0.5
+LAST_RESORT_SPREAD_SHARE = 0.25
+"""Age of the proof at which an entry calls the store though another one is the reader.
+
+As shares of `revoke_ms`: the earliest, and the random addition. The reader's reads may succeed
+while its confirmations fail. The first entry that calls renews the proofs of the others.
+"""
+
+LAST_RESORT_INTERVAL_MS = 1_000.0
+"""Least time between such calls of one entry, since all entries may make them in an outage."""
+
 ANSWER_TIMEOUT_MS = 150.0
 """Time after which another entry is queried; several round trips between failure domains."""
 
@@ -89,12 +100,18 @@
         Whether the latest call to the store proved nothing.
     call_due_at
         Earliest time of the next call.
+    last_call_at
+        Time of the latest call.
+    without_proof_since
+        Since when there is no proof at all; infinite before the first decision.
     query
         The latest query, until its answer arrives.
     unanswered
         All queries without an answer, by number; a late answer counts, too.
     query_due_at
         When to send the next query while the lease holds.
+    old_asked_peer
+        Whether the latest query went to a peer while the own proof was old.
     silent_until
         Entries that did not answer, and until when they are avoided.
     """
@@ -106,10 +123,14 @@
         self.calling = False
         self.failing = False
         self.call_due_at = -inf
+        self.last_call_at = -inf
+        self.without_proof_since = inf
+        self.last_resort_ms = self.next_last_resort_ms()
         self.query: Query | None = None
         self.unanswered: dict[int, Query] = {}
         self.query_due_at = -inf
         self.last_query_at = -inf
+        self.old_asked_peer = False
         self.silent_until: dict[Address, float] = {}
 
     @property
@@ -131,13 +152,27 @@
             return False
         proof = self.lease.proof
         if proof is None:
-            return reads()
+            self.without_proof_since = min(self.without_proof_since, now)
+            return reads() or self.is_last_resort(now - self.without_proof_since, now)
         due_ms = self.settings.takeover_ms if proof.source else self.settings.prove_ms
-        return now - proof.since >= due_ms and reads()
+        age_ms = now - proof.since
+        return age_ms >= due_ms and (reads() or self.is_last_resort(age_ms, now))
 
-    def begin_call(self) -> None:
+    def is_last_resort(self, age_ms: float, now: float) -> bool:
+        """Return whether to call the store though another entry should."""
+        rested = now - self.last_call_at >= LAST_RESORT_INTERVAL_MS
+        return rested and age_ms >= self.last_resort_ms
+
+    def next_last_resort_ms(self) -> float:
+        """Return the age of the next call as a last resort, which differs between entries."""
+        share = LAST_RESORT_SHARE + LAST_RESORT_SPREAD_SHARE * self.random.random()
+        return self.settings.revoke_ms * share
+
+    def begin_call(self, now: float) -> None:
         """Record that a call to the store begins."""
         self.calling = True
+        self.last_call_at = now
+        self.last_resort_ms = self.next_last_resort_ms()
 
     def end_call(self, proved: bool, now: float) -> None:
         """Record that a call to the store ended; one that proved nothing is repeated soon."""
@@ -215,10 +250,10 @@
         answering_peers = [each for each in peers if each.address not in self.silent_until]
         answering_others = [each for each in others if each.address not in self.silent_until]
         is_old = not self.lease.is_younger(self.settings.takeover_ms, now)
-        if answering_others and is_old and self.number % 2:
-            return self.random.choice(answering_others)
-        if answering_peers:
+        if answering_peers and not (is_old and self.old_asked_peer and answering_others):
+            self.old_asked_peer = is_old
             return self.choose_latest(answering_peers)
+        self.old_asked_peer = False
         if answering_others:
             return self.random.choice(answering_others)
         silent = [*peers, *others]
--- a/cactusvane/following/prover.py
+++ b/cactusvane/following/prover.py
@@ -135,9 +135,9 @@
         self.advance()
         self.gate.log_change()
         rows = self.rows()
-        should_read = self.follower.should_read
-        if rows is not None and self.schedule.should_call(should_read, self.clock.boot()):
-            self.schedule.begin_call()
+        now = self.clock.boot()
+        if rows is not None and self.schedule.should_call(self.follower.should_read, now):
+            self.schedule.begin_call(now)
             self.start_task(self.prove(rows))
         self.query_if_due()
 
--- a/tests/adapter/current.py
+++ b/tests/adapter/current.py
@@ -36,11 +36,12 @@
 
 
 class CountingStore(Store):
-    """Counts confirmations, and fails while `refused`."""
+    """Counts confirmations; fails while `refused`, and only these while it does not confirm."""
 
     def __init__(self, address: Address) -> None:
         super().__init__(address)
         self.refused = False
+        self.confirms = True
         self.confirmations = 0
 
     def check(self) -> None:
@@ -60,6 +61,8 @@
     async def confirm(self, table: str, rows: TableRows) -> bool:
         self.confirmations += 1
         self.check()
+        if not self.confirms:
+            raise PlatformUnavailableError("the store confirms nothing to this entry")
         return await super().confirm(table, rows)
 
 
--- a/tests/adapter/test_current.py
+++ b/tests/adapter/test_current.py
@@ -141,6 +141,20 @@
     run_scenario(scenario)
 
 
+def test_others_prove_currency_where_the_reader_can_only_read() -> None:
+    """A reader whose reads succeed keeps that role, so nobody else would prove anything."""
+
+    async def scenario(fleet: CurrentFleet) -> None:
+        processes = await start_entries(fleet, "e1", "e2", "e3")
+        fleet.stores["e1"].confirms = False
+        since = time()
+        while time() < since + 2.5 * REVOKE_S:
+            await asyncio.sleep(0.02)
+            assert all(accepts(process) for process in processes)
+
+    run_scenario(scenario)
+
+
 def test_an_entry_that_is_cut_off_stops_accepting_keys_in_time() -> None:
     """An entry that hears nobody does not know of the removal."""
 
--- a/tests/customers/test_lease_model.py
+++ b/tests/customers/test_lease_model.py
@@ -185,7 +185,7 @@
     def call_store(self) -> None:
         """Confirm the version at the store."""
         started, version, process = self.boot(), self.version, self.schedule
-        process.begin_call()
+        process.begin_call(started)
         answered: list[bool] = []
 
         def arrive() -> None:
