--- a/cactusvane/quota/bucket.py
+++ b/cactusvane/quota/bucket.py
@@ -24,7 +24,8 @@
     settled_at
         Time up to which the bucket is refilled, in milliseconds.
     withheld
-        Tokens left to entries out of contact.
+        Tokens left to entries out of contact, which are taken back when these report their usage.
+        None are taken back after a long time, since the rest of the bucket has refilled then.
     withheld_per_s
         Part of the refill rate that is left to them.
     reach
@@ -51,7 +52,8 @@
         if elapsed_s <= 0.0:
             return
         self.settled_at = now
-        self.withheld += self.withheld_per_s * elapsed_s
+        if not self.reach.lasting:
+            self.withheld += self.withheld_per_s * elapsed_s
         self.level += self.refill_per_s * elapsed_s
         self.limit_level()
 
@@ -95,6 +97,24 @@
         if reach.share > before:
             self.withhold(-self.withheld * (reach.share - before) / (1.0 - before))
         self.withheld_per_s = kept
+        if reach.lasting:
+            self.withheld = 0.0
+
+    def deduct(self, tokens: float, withheld: bool) -> None:
+        """Deduct requests that other entries admitted.
+
+        Parameters
+        ----------
+        tokens
+            Number of requests; negative if some did not run.
+        withheld
+            Whether those entries are out of contact, so that tokens were withheld for them.
+        """
+        if withheld and tokens > 0.0:
+            part = min(tokens, self.withheld)
+            self.withheld -= part
+            tokens -= part
+        self.level -= tokens
 
     def withhold(self, tokens: float) -> None:
         """Leave tokens to entries out of contact, or take some back (negative)."""
--- a/cactusvane/quota/quotas.py
+++ b/cactusvane/quota/quotas.py
@@ -50,6 +50,9 @@
 RELAY_MEMORY_MS = 2_000.0
 """How long an entry still sends levels after it was the relay, for a relay that returns."""
 
+MAX_SHORT_ISOLATION_MS = 1_000.0
+"""After a longer isolation an entry continues as after a start."""
+
 LOG_INTERVAL_MS = 1_000.0
 """Minimum time between two log lines about the contact with the other entries."""
 
@@ -127,7 +130,9 @@
         self.starts_full = starts_full
         self.levels_known = starts_full
         self.configured = False
-        self.contacts = Contacts(failure_domain, failure_domains, settings, now)
+        self.contacts = Contacts(
+            failure_domain, failure_domains, settings, now, is_first_start=starts_full
+        )
         self.reach: Reach = FULL_REACH
         self.states: dict[str, CustomerState] = {}
         self.removed: dict[str, CustomerState] = {}
@@ -139,6 +144,7 @@
         self.groups: dict[GroupKey, UsageSource] = {}
         self.is_relay: Callable[[], bool] = lambda: False
         self.relay_at = -inf
+        self.isolated_at = now
         self.logged_share = 1.0
         self.logged_at = -inf
 
@@ -253,6 +259,7 @@
 
     def heard(self, now: float) -> None:
         """Record that a message from an entry of the group arrived."""
+        self.refresh(now)
         self.contacts.heard(now)
         self.refresh(now)
 
@@ -262,7 +269,10 @@
         if before == self.reach:
             self.reach = before
             return
-        if before.isolated and not self.reach.isolated:
+        if self.reach.isolated and not before.isolated:
+            self.isolated_at = self.contacts.heard_at
+        returned = before.isolated and not self.reach.isolated
+        if returned and now - self.isolated_at > MAX_SHORT_ISOLATION_MS:
             self.rejoin(now)
 
     def log_reach(self, now: float) -> None:
@@ -383,15 +393,15 @@
         """Apply usage of entries of the group, which the other groups are told of, too."""
         for change in changes:
             self.group.add(change.customer, change.admitted, change.asked, now)
-            self.apply(change, now)
+            self.apply(change, self.reach.isolated, now)
 
-    def apply(self, change: UsageChange, now: float) -> None:
-        """Deduct requests that other entries admitted."""
+    def apply(self, change: UsageChange, withheld: bool, now: float) -> None:
+        """Deduct requests that other entries admitted, from the withheld tokens if so."""
         state = self.states.get(change.customer)
         if state is None:
             return
         self.settle(state, change.customer, now)
-        state.bucket.add(-change.admitted)
+        state.bucket.deduct(change.admitted, withheld)
         if change.asked:
             state.demand.add(change.asked, now)
 
@@ -417,20 +427,21 @@
             return
         if source is not None and is_same and report.number <= source.number:
             return
+        if source is not None and now - source.seen_at > self.settings.max_assumed_ms:
+            source = None
         self.contacts.reported(group, now)
         self.refresh(now)
+        withheld = group in self.reach.silent
+        is_baseline = source is None or not is_same
         if source is None or not is_same:
-            source = self.change_reporter(source, report, now)
+            source = self.change_reporter(source, report, withheld, now)
             self.groups[group] = source
-            changes = source.apply(report.usage, True, now)
-        else:
-            changes = source.apply(report.usage, False, now)
         source.number = report.number
-        for change in changes:
-            self.apply(change, now)
+        for change in source.apply(report.usage, is_baseline, now):
+            self.apply(change, withheld, now)
 
     def change_reporter(
-        self, before: UsageSource | None, report: DomainReport, now: float
+        self, before: UsageSource | None, report: DomainReport, withheld: bool, now: float
     ) -> UsageSource:
         """Return the source for another reporter of a group.
 
@@ -442,7 +453,7 @@
             return source
         until = min(now, before.seen_at + self.settings.max_assumed_ms)
         for change in before.assume(until):
-            self.apply(change, now)
+            self.apply(change, withheld, now)
         for customer, usage in report.usage.items():
             known = before.known.get(customer)
             if known is not None:
--- a/tests/quota/replay.py
+++ b/tests/quota/replay.py
@@ -42,6 +42,8 @@
         Requests per second outside a burst of load.
     factor
         What they are multiplied by from `hot_from` to `hot_until`, in milliseconds.
+    before, changed_at
+        The customer before its limit was changed, and when, in milliseconds.
     """
 
     customer: Customer
@@ -49,6 +51,8 @@
     factor: float = 1.0
     hot_from: float = 4_000.0
     hot_until: float = 10_500.0
+    before: Customer | None = None
+    changed_at: float = 0.0
 
     def per_s(self, now: float) -> float:
         """Return the requests per second now."""
@@ -283,6 +287,7 @@
 
     def send_round(self, node: Node) -> None:
         """Pass on updates and reports to the group."""
+        self.choose_relay(node)
         if node.relay != node.vm:
             return
         updates, node.outbox = node.outbox, []
@@ -326,7 +331,6 @@
     def tick(self, node: Node) -> None:
         """Run the periodic work of an entry."""
         node.quotas.tick(self.now)
-        self.choose_relay(node)
         if self.now - node.sent_at >= HEARTBEAT_MS:
             self.schedule_update(node)
 
@@ -349,18 +353,38 @@
 
     def worst_excess(self, name: str) -> float:
         """Return by how many requests any window exceeds what is allowed; negative if none."""
-        customer = self.loads[name].customer
-        base = customer.rate_per_s * WINDOW_MS / MS_PER_SECOND + customer.burst
-        allowed = base * (1.0 + OVER_SHARE) + SLACK
         admitted = self.tallies[name].admitted
-        most = max(
+        return max(
             (
-                number + 1 - bisect_left(admitted, at - WINDOW_MS)
+                number + 1 - bisect_left(admitted, at - WINDOW_MS) - self.allowed(name, at)
                 for number, at in enumerate(admitted)
             ),
-            default=0,
+            default=0.0,
+        )
+
+    def allowed(self, name: str, end: float) -> float:
+        """Return how many requests may run in the window that ends at a time in milliseconds.
+
+        In a window in which the limit changes, each rate counts for its part, and the larger burst.
+        """
+        load = self.loads[name]
+        customer, before = load.customer, load.before or load.customer
+        old_ms = min(WINDOW_MS, max(0.0, load.changed_at - (end - WINDOW_MS)))
+        tokens = before.rate_per_s * old_ms + customer.rate_per_s * (WINDOW_MS - old_ms)
+        burst = before.burst if old_ms > 0.0 else customer.burst
+        return (tokens / MS_PER_SECOND + burst) * (1.0 + OVER_SHARE) + SLACK
+
+    def lower_limit(self, name: str, factor: float) -> None:
+        """Lower the limit of a customer at all entries, each within 50 ms."""
+        load = self.loads[name]
+        load.before, load.changed_at = load.customer, self.now + 50.0
+        load.customer = Customer(
+            name, (), load.customer.rate_per_s * factor, load.customer.burst * factor
         )
-        return most - allowed
+        customers = [each.customer for each in self.loads.values()]
+        for node in self.nodes.values():
+            delay = self.random.uniform(0.0, 50.0)
+            self.after(delay, lambda node=node: node.quotas.configure(customers, self.now))  # type: ignore[misc]
 
     def excesses(self) -> dict[str, float]:
         """Return the customers whose windows exceed what is allowed, and by how much."""
