--- a/cactusvane/report/explain.py
+++ b/cactusvane/report/explain.py
@@ -17,6 +17,7 @@
 
 ATTEMPTED = Event.REQUEST_ATTEMPTED.value.number
 ENDED = Event.REQUEST_ENDED.value.number
+LEASE = "lease"
 REQUEST_EVENTS = frozenset({ATTEMPTED, ENDED})
 
 
@@ -83,6 +84,10 @@
                 self.outages.setdefault(str(line.get("table")), line)
             case Event.TABLE_REGAINED.value.number:
                 self.outages.pop(str(line.get("table")), None)
+            case Event.LEASE_LOST.value.number:
+                self.outages[LEASE] = line
+            case Event.LEASE_GAINED.value.number:
+                self.outages.pop(LEASE, None)
 
     def known_states(self, target: str, time: float) -> tuple[KnownState, ...]:
         """Return the state that the VM uses at `time` for a request to `target`."""
--- a/tests/adapter/current.py
+++ b/tests/adapter/current.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import replace
+from random import Random
 
 import msgspec
 from adapter.decoder import CONFIGURATION_KEY, Decoder
@@ -70,6 +71,8 @@
     """Counts messages by type, and loses all of them while `cut_off`."""
 
     cut_off = False
+    lost_share = 0.0
+    random = Random(1)
 
     def __init__(self, process: FleetProcess) -> None:
         super().__init__(self.pass_on)
@@ -83,7 +86,10 @@
     def send(self, message: Message, peers: Iterable[Address]) -> None:
         self.sent[type(message)] += 1
         if not self.cut_off:
-            super().send(message, peers)
+            super().send(message, [each for each in peers if not self.is_lost()])
+
+    def is_lost(self) -> bool:
+        return self.random.random() < self.lost_share
 
     @property
     def freshness_messages(self) -> int:
--- a/tests/adapter/test_current.py
+++ b/tests/adapter/test_current.py
@@ -141,6 +141,36 @@
     run_scenario(scenario)
 
 
+def test_another_entry_proves_currency_while_the_reader_is_cut_off() -> None:
+    """A frozen reader leaves no farewell; until it counts as gone, its peers query it in vain."""
+
+    async def scenario(fleet: CurrentFleet) -> None:
+        _, *others = await start_entries(fleet, "e1", "e2", "e3")
+        fleet.refuse("e1")
+        fleet.endpoints["e1"].cut_off = True
+        since = time()
+        while time() < since + 2.0 * REVOKE_S:
+            await asyncio.sleep(0.02)
+            assert all(accepts(process) for process in others)
+
+    run_scenario(scenario)
+
+
+def test_lost_datagrams_cost_no_lease() -> None:
+    """A lost query or answer must cost one round and not the lease."""
+
+    async def scenario(fleet: CurrentFleet) -> None:
+        processes = await start_entries(fleet, "e1", "e2", "e3")
+        for endpoint in fleet.endpoints.values():
+            endpoint.lost_share = 0.2
+        since = time()
+        while time() < since + 3.0 * REVOKE_S:
+            await asyncio.sleep(0.02)
+            assert all(accepts(process) for process in processes)
+
+    run_scenario(scenario)
+
+
 def test_others_prove_currency_where_the_reader_can_only_read() -> None:
     """A reader whose reads succeed keeps that role, so nobody else would prove anything."""
 
--- a/tests/placement/test_domain.py
+++ b/tests/placement/test_domain.py
@@ -137,6 +137,15 @@
     assert domain.next_update(StoreStatus(False, 800.0, None, {"a": 2}), 1_950.0).is_full
 
 
+def test_the_age_of_a_proof_alone_causes_no_store_status() -> None:
+    """It differs in each update, and a full update is several times as long as another."""
+    domain = make_domain()
+    first = StoreStatus(True, 0.0, None, {}, proof_age_ms=10.0)
+    assert domain.next_update(first, 1_000.0).is_full
+    second = StoreStatus(True, 100.0, None, {}, proof_age_ms=110.0)
+    assert not domain.next_update(second, 1_100.0).is_full
+
+
 def test_updates_do_not_mark_a_target_as_used_whose_only_request_hangs() -> None:
     """Targets with hanging requests got nothing for 2 s and were considered to be in use."""
     domain = make_domain()
