A copy that missed a change is read again by any entry that the store refutes twice

Cause: a read of changes after a compaction may miss one, and nothing else fills the gap. Lines of a lost lease are among the states that `cactusvane explain` lists.

--- a/cactusvane/following/follower.py
+++ b/cactusvane/following/follower.py
@@ -110,6 +110,8 @@
     history_lost
         Whether the platform no longer has the changes after the copy's version, so that the next
         read is of the whole table.
+    reread
+        Whether the whole table is to be read once, also by a VM that is not the reader.
     pulling
         Whether a request for changes to another VM is in progress.
     taking_over
@@ -140,6 +142,7 @@
         self.last_failure_at: float | None = None
         self.last_response_at: float | None = None
         self.history_lost = False
+        self.reread = False
         self.retry_delay_ms = MIN_RETRY_DELAY_MS
         self.batch_delay_ms = MIN_BATCH_DELAY_MS
         self.last_change_at = -inf
@@ -150,7 +153,7 @@
         """Follow the table until cancelled."""
         await self.delay_first_read()
         while True:
-            if self.copy.loaded and not self.should_read():
+            if self.copy.loaded and not self.reread and not self.should_read():
                 self.taking_over = True
                 await asyncio.sleep(STANDBY_POLL_MS / MS_PER_SECOND)
             else:
@@ -176,7 +179,7 @@
         if not self.copy.accepts(read):
             await self.handle_refused(read)
             return
-        self.history_lost = False
+        self.history_lost = self.reread = False
         self.record_response()
         self.apply(read, "platform")
         await asyncio.sleep(self.next_batch_delay_ms(bool(read.rows)) / MS_PER_SECOND)
@@ -225,7 +228,7 @@
 
     async def read_rows(self) -> TableRows:
         """Return the whole table if it is not loaded or its history is lost, else the changes."""
-        if self.history_lost or not self.copy.loaded:
+        if self.history_lost or self.reread or not self.copy.loaded:
             return await self.source.read_table(self.table)
         wait_ms = 0.0 if self.taking_over else self.settings.long_poll_ms
         read = await self.source.read_changes(self.table, self.copy.version, wait_ms)
--- a/cactusvane/following/prover.py
+++ b/cactusvane/following/prover.py
@@ -166,7 +166,7 @@
         if position != before:
             events.write(Event.CONFIGURATION_OUTDATED, version=position.version, era=position.era)
         if self.refuted[1] >= REFUTATIONS_BEFORE_READ:
-            self.follower.history_lost = True
+            self.follower.reread = True
 
     def log_failure(self, reason: str) -> None:
         """Log the first failed call of an outage."""
--- a/tests/following/test_follower.py
+++ b/tests/following/test_follower.py
@@ -186,6 +186,25 @@
     assert source.waits == [0.0, SETTINGS.long_poll_ms]
 
 
+def test_a_table_that_is_to_be_read_again_is_read_once_by_a_vm_that_is_not_the_reader() -> None:
+    """A copy that missed a change while its VM was the reader gets it from no other VM."""
+    missed = TableRows(9, (TableRow("a", b"2", 8),), whole=True)
+    source = ScriptedSource(TableRows(9, (TableRow("a", b"1", 5),), whole=True), missed)
+    follower = make_follower(source)
+
+    async def run() -> None:
+        await follower.read()
+        follower.should_read = lambda: False
+        follower.reread = True
+        task = asyncio.ensure_future(follower.run())
+        await asyncio.sleep(0.3)
+        task.cancel()
+
+    asyncio.run(run())
+    assert source.calls == ["whole", "whole"]
+    assert follower.copy.values() == {"a": b"2"}
+
+
 def test_the_batch_delay_grows_while_changes_follow_each_other() -> None:
     follower = make_follower(ScriptedSource())
     first = follower.next_batch_delay_ms(True)
--- a/tests/following/test_prover.py
+++ b/tests/following/test_prover.py
@@ -156,10 +156,10 @@
     entry.write(7, b"a")
     entry.source.version = 8
     entry.step()
-    assert not entry.follower.history_lost
+    assert not entry.follower.reread
     entry.clock.advance(500.0)
     entry.step()
-    assert entry.follower.history_lost
+    assert entry.follower.reread
     assert not entry.prover.gate.is_current
 
 
--- a/tests/following/test_table.py
+++ b/tests/following/test_table.py
@@ -42,6 +42,18 @@
     assert (copy.version, copy.last_change_version) == (70, 4)
 
 
+def test_selected_rows_have_the_position_of_the_latest_of_them() -> None:
+    """The position of the table would hide that a row is older than the one in the store."""
+    copy = TableCopy()
+    rows = (TableRow("a", b"1", 4), TableRow("b", b"2", 6), TableRow("c", b"3", 8))
+    copy.apply(TableRows(9, rows, whole=True, era=2))
+    selected = copy.select(("a", "b", "z"))
+    assert selected.rows == rows[:2]
+    assert (selected.era, selected.last_change) == (2, 6)
+    copy.apply(TableRows(10, (TableRow("b", None, 10),), whole=False, era=2, after=9))
+    assert copy.select(("b",)).rows == ()
+
+
 STEPS = st.lists(
     st.tuples(st.sampled_from("abc"), st.one_of(st.none(), st.binary(max_size=2))), max_size=15
 )
--- a/tests/test_report_explain.py
+++ b/tests/test_report_explain.py
@@ -46,6 +46,16 @@
     assert all("does not answer" not in belief.text for belief in first.beliefs)
 
 
+def test_a_lost_lease_is_listed_until_it_is_gained_again() -> None:
+    """The lines of a rejected request must lead to the reason."""
+    lost = line(4.6, "e1", 1622, "requests with a key are rejected")
+    first, _ = explain("q1", [*LOG[:5], lost, *LOG[5:]])
+    assert any("rejected" in belief.text for belief in first.beliefs)
+    gained = line(4.7, "e1", 1621, "requests with a key are accepted")
+    first, _ = explain("q1", [*LOG[:5], lost, gained, *LOG[5:]])
+    assert not any("with a key" in belief.text for belief in first.beliefs)
+
+
 def test_the_explain_command(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     one, two = tmp_path / "e1.log", tmp_path / "e2.log"
     one.write_text("\n".join(LOG[:4]))
