--- a/cactusvane/following/prover.py
+++ b/cactusvane/following/prover.py
@@ -109,8 +109,11 @@
     def rows(self) -> TableRows | None:
         """Return the rows of the configuration; None if they cannot be used."""
         selected = self.follower.copy.select(self.keys)
-        values = {row.key: row.value for row in selected.rows}
-        return selected if values and values == self.usable else None
+        values = {row.key: row.value for row in selected.rows if row.value is not None}
+        if not values or values != self.usable:
+            return None
+        self.usable = values
+        return selected
 
     def advance(self) -> None:
         """Apply the position of the copy; a row that was written again has another one."""
--- a/tests/adapter/current.py
+++ b/tests/adapter/current.py
@@ -37,12 +37,23 @@
 
 
 class CountingStore(Store):
-    """Counts confirmations; fails while `refused`, and only these while it does not confirm."""
+    """Counts confirmations, and fails in several ways.
+
+    Attributes
+    ----------
+    refused
+        Whether each call fails.
+    confirms
+        Whether confirmations succeed.
+    misses_changes
+        Whether reads of changes return none, as after a compaction.
+    """
 
     def __init__(self, address: Address) -> None:
         super().__init__(address)
         self.refused = False
         self.confirms = True
+        self.misses_changes = False
         self.confirmations = 0
 
     def check(self) -> None:
@@ -57,7 +68,7 @@
         self.check()
         read = await super().read_changes(table, after, wait_ms)
         self.check()
-        return read
+        return replace(read, rows=()) if self.misses_changes else read
 
     async def confirm(self, table: str, rows: TableRows) -> bool:
         self.confirmations += 1
--- a/tests/adapter/test_current.py
+++ b/tests/adapter/test_current.py
@@ -224,6 +224,22 @@
     run_scenario(scenario)
 
 
+def test_a_change_that_reads_have_missed_is_found() -> None:
+    """The copy counts as complete up to a later version, so nothing else would fill the gap."""
+
+    async def scenario(fleet: CurrentFleet) -> None:
+        processes = await start_entries(fleet, "e1", "e2")
+        for store in fleet.stores.values():
+            store.misses_changes = True
+        fleet.keys.remove(KEY)
+        fleet.publish()
+        removed = time()
+        assert await last_accepted(processes, 1.5 * REVOKE_S) < removed + REVOKE_S
+        await until(lambda: all(accepts(process, "key-2") for process in processes))
+
+    run_scenario(scenario)
+
+
 def test_an_unusable_configuration_gets_no_lease() -> None:
     """The row that is in the store may have removed a key of the older one that is active."""
 
