--- a/tests/adapter/current.py
+++ b/tests/adapter/current.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import replace
+from random import Random
 
 import msgspec
 from adapter.decoder import CONFIGURATION_KEY, Decoder
@@ -36,12 +37,23 @@
 
 
 class CountingStore(Store):
-    """Counts confirmations; fails while `refused`, and only these while it does not confirm."""
+    """Counts confirmations, and fails in several ways.
+
+    Attributes
+    ----------
+    refused
+        Whether each call fails.
+    confirms
+        Whether confirmations succeed.
+    misses_changes
+        Whether reads of changes return none, as after a compaction.
+    """
 
     def __init__(self, address: Address) -> None:
         super().__init__(address)
         self.refused = False
         self.confirms = True
+        self.misses_changes = False
         self.confirmations = 0
 
     def check(self) -> None:
@@ -56,7 +68,7 @@
         self.check()
         read = await super().read_changes(table, after, wait_ms)
         self.check()
-        return read
+        return replace(read, rows=()) if self.misses_changes else read
 
     async def confirm(self, table: str, rows: TableRows) -> bool:
         self.confirmations += 1
@@ -70,6 +82,8 @@
     """Counts messages by type, and loses all of them while `cut_off`."""
 
     cut_off = False
+    lost_share = 0.0
+    random = Random(1)
 
     def __init__(self, process: FleetProcess) -> None:
         super().__init__(self.pass_on)
@@ -83,7 +97,10 @@
     def send(self, message: Message, peers: Iterable[Address]) -> None:
         self.sent[type(message)] += 1
         if not self.cut_off:
-            super().send(message, peers)
+            super().send(message, [each for each in peers if not self.is_lost()])
+
+    def is_lost(self) -> bool:
+        return self.random.random() < self.lost_share
 
     @property
     def freshness_messages(self) -> int:
