--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/installed
 export PYTHONPATH := .
 
-.PHONY: install check test demo bench-load bench-added bench-relaying bench-decisions bench-capacity soak lock generate bench-slots bench-membership
+.PHONY: install check test demo bench-load bench-added bench-relaying bench-decisions bench-capacity bench-quota-bytes soak lock generate bench-slots bench-membership
 
 install:
 	@cmp -s requirements.lock $(STAMP) || $(MAKE) --no-print-directory $(STAMP)
@@ -46,6 +46,9 @@
 bench-capacity: install
 	$(PYTHON) -m bench.capacity
 
+bench-quota-bytes: install
+	$(PYTHON) -m bench.quota_bytes
+
 SECONDS ?= 60
 SEED ?= 1
 ON ?= platform
