--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -20,6 +20,7 @@
 from cactusvane.http.target_notice import read_notice
 from cactusvane.metrics import KindRecord
 from cactusvane.outcome import Outcome
+from cactusvane.placement.features import features_of
 from cactusvane.placement.messages import RequestProfile
 from cactusvane.report.objective import meets_objective, objective_of
 from cactusvane.request.admission import Ticket
@@ -141,6 +142,7 @@
             self.started_at,
             self.attempts.deadline,
             match.route.latency_ms,
+            features=features_of(request.method, request.path, match.route.path, len(request.body)),
         )
         self.lease: Lease | None = None
         self.tried: frozenset[Address] = frozenset()
--- a/cactusvane/placement/admission.py
+++ b/cactusvane/placement/admission.py
@@ -10,18 +10,23 @@
 from cactusvane.placement.domain import Domain
 from cactusvane.placement.messages import Observation, Place, Reject, RequestProfile, Wait
 from cactusvane.placement.placement import FAILURE_OUTCOMES, Placement
+from cactusvane.placement.work import RunningWork
 from cactusvane.request.admission import Ticket
 
 
 class SharedTicket(Ticket):
-    """A request, with the future that it waits on and the timer that marks it as overdue."""
+    """A request, with the future that it waits on and the timer that marks it as overdue.
 
-    __slots__ = ("overdue", "waiter")
+    `running` is its attempt in flight, if the work of requests is estimated.
+    """
+
+    __slots__ = ("overdue", "running", "waiter")
 
     def __init__(self, profile: RequestProfile, tried: frozenset[Address]) -> None:
         super().__init__(profile, tried)
         self.waiter: asyncio.Future[None] | None = None
         self.overdue: asyncio.TimerHandle | None = None
+        self.running: RunningWork | None = None
 
 
 class SharedAdmission:
@@ -87,8 +92,9 @@
         """Record that a request is sent to its target."""
         ticket.place = place
         profile = ticket.profile
-        self.placement.record_start(place.name, self.clock.now())
-        overdue_ms = self.placement.overdue_ms(profile.kind, profile.latency_ms)
+        now = self.clock.now()
+        ticket.running = self.placement.record_start(place.name, now, profile, place.inputs.wait_ms)
+        overdue_ms = self.placement.overdue_ms(profile.kind, profile.latency_ms, ticket.running)
         loop = asyncio.get_running_loop()
         ticket.overdue = loop.call_later(
             overdue_ms / MS_PER_SECOND, self.record_overdue, ticket, overdue_ms
@@ -139,7 +145,7 @@
         )
         ticket.place = None
         ticket.tried |= {address}
-        self.placement.record_end(observation, self.clock.now())
+        observation = self.placement.record_end(observation, self.clock.now(), ticket.running)
         self.domain.observe(observation)
         self.schedule_update(outcome in FAILURE_OUTCOMES or outcome is Outcome.STALE)
         self.wake()
--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -24,6 +24,7 @@
 from cactusvane.placement.rate_limits import RateLimits
 from cactusvane.placement.retries import RetryLimit, SharedRetries
 from cactusvane.placement.settings import PlacementSettings
+from cactusvane.placement.target import PeerWork, Target
 from cactusvane.placement.target_notices import TargetNotices
 from cactusvane.request.crashes import CrashRecord
 
@@ -99,6 +100,7 @@
                     self.settings,
                     self.rate_limits,
                     self.notices,
+                    self.vm,
                 )
                 placement.idle_ms = self.idle_ms
             self.placements[service.name] = placement
@@ -123,6 +125,7 @@
         for placement in self.placements.values():
             for target in placement.targets.values():
                 target.peer_load = 0
+                target.peer_work.clear()
         for peer in self.peers.values():
             if peer.last_update is not None:
                 self.add_peer_load(peer.last_update, 1)
@@ -133,6 +136,8 @@
             placement = self.placement_by_target.get(name)
             if placement is not None:
                 placement.targets[name].peer_load += sign * count
+                if self.settings.expected_work:
+                    set_peer_work(placement.targets[name], update, count if sign > 0 else 0)
 
     def record_use(self, update: StateUpdate, last: StateUpdate | None, now: float) -> None:
         """Record to which targets another entry sent requests since its previous update.
@@ -338,4 +343,25 @@
             self.rate_limits.reports(status is not None, now),
             self.crashes.take_news(status is not None, self.random, now),
             self.notices.reports(status is not None, now),
+            work=self.own_work(now),
         )
+
+    def own_work(self, now: float) -> dict[str, int] | None:
+        """Return the remaining work of this entry's requests in flight, by target, in ms."""
+        if not self.settings.expected_work:
+            return None
+        return {
+            name: round(target.own_remaining_ms(now))
+            for placement in self.placements.values()
+            for name, target in placement.targets.items()
+            if target.own_work
+        }
+
+
+def set_peer_work(target: Target, update: StateUpdate, count: int) -> None:
+    """Apply the remaining work of another entry's requests at a target; 0 requests remove it."""
+    if count:
+        remaining_ms = None if update.work is None else update.work.get(target.vm.name)
+        target.peer_work[update.sender] = PeerWork(count, remaining_ms)
+    else:
+        target.peer_work.pop(update.sender, None)
--- a/cactusvane/placement/messages.py
+++ b/cactusvane/placement/messages.py
@@ -12,6 +12,7 @@
 from cactusvane.fleet.vm import Address
 from cactusvane.following.table import TablePosition
 from cactusvane.outcome import Outcome
+from cactusvane.placement.features import RequestFeatures
 from cactusvane.placement.retries import RetryUsage
 from cactusvane.request.crashes import CrashReport
 
@@ -38,6 +39,8 @@
         Name of the customer; empty if the configuration has none, or the route is anonymous.
     customer_priority
         Priority of the customer, which goes before `priority`.
+    features
+        What its expected work depends on; None if unknown.
     """
 
     kind: str
@@ -48,6 +51,34 @@
     latency_ms: float
     customer: str = ""
     customer_priority: int = 0
+    features: RequestFeatures | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class WorkInputs:
+    """Expected work of a placed request and from what it was learned, for the log.
+
+    The field names are keys of a log line.
+
+    Parameters
+    ----------
+    expected_ms
+        Expected work in milliseconds.
+    spread
+        Standard deviation of the work as a share of its mean.
+    samples
+        Number of samples of the most refined mean that the estimate was learned from.
+    source
+        Which one that is: ``prior``, ``kind``, ``path``, ``size`` or ``customer``.
+    remaining_ms
+        Expected remaining work of the requests in flight at the target.
+    """
+
+    expected_ms: float
+    spread: float
+    samples: int
+    source: str
+    remaining_ms: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +105,8 @@
         Time since any entry of the failure domain sent the target a request.
     failed_ago_ms
         Time since a request failed at the target; None if none ever did.
+    work
+        Expected work of the request; None unless `PlacementSettings.expected_work` is set.
     """
 
     load: int
@@ -84,6 +117,7 @@
     evidence_age_ms: float | None
     unused_ms: float
     failed_ago_ms: float | None
+    work: WorkInputs | None = None
 
 
 class PlacementReason(Enum):
@@ -136,12 +170,19 @@
     latency_ms
         Duration of the attempt, so far if it is in flight; for a stale connection, the time for
         which it had been idle.
+    packed
+        Features of the request, as `features.pack` returns them; 0 if unknown.
+    service_ms
+        Part of the latency that was not spent in the target's queue, as far as the entry expected;
+        0 if unknown.
     """
 
     target: str
     kind: str
     outcome: Outcome | None
     latency_ms: float
+    packed: int = 0
+    service_ms: int = 0
 
 
 class StoreStatus(msgspec.Struct, frozen=True, array_like=True):
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -11,12 +11,14 @@
 """
 
 from collections.abc import Callable, Collection
+from dataclasses import replace
 from random import Random
 
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.metrics import TargetCounts
 from cactusvane.outcome import Outcome
-from cactusvane.placement import floor
+from cactusvane.placement import features, floor
+from cactusvane.placement.affinity import Affinity
 from cactusvane.placement.evidence import RecentOutcomes
 from cactusvane.placement.idle import IdleLimit
 from cactusvane.placement.latency import LatencyEstimates
@@ -29,11 +31,13 @@
     Reject,
     RequestProfile,
     Wait,
+    WorkInputs,
 )
 from cactusvane.placement.rate_limits import RateLimits
 from cactusvane.placement.settings import PlacementSettings
 from cactusvane.placement.target import Target
 from cactusvane.placement.target_notices import TargetNotices
+from cactusvane.placement.work import Estimate, RunningWork, WorkEstimates, service_share
 
 FAILURE_OUTCOMES = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.TIMED_OUT})
 """Outcomes that count as evidence of failure of a target that was reached."""
@@ -63,9 +67,15 @@
         Rate limits of the targets.
     notices
         Which targets have said that they leave, or that they want a pause.
+    vm
+        Name of this VM.
 
     Attributes
     ----------
+    work
+        Expected work of requests; None unless the settings ask for it.
+    affinity
+        Targets that this entry prefers; None unless the settings ask for it.
     idle_ms
         Returns how long a connection to a target has been idle; None if there is none.
     profiles
@@ -83,6 +93,7 @@
         settings: PlacementSettings,
         rate_limits: RateLimits,
         notices: TargetNotices,
+        vm: str = "",
     ) -> None:
         self.failure_domain = failure_domain
         self.random = random
@@ -92,6 +103,8 @@
         self.targets: dict[str, Target] = {}
         self.cooldown_carry = floor.ROUND_HALF
         self.latencies = LatencyEstimates(settings)
+        self.work = WorkEstimates(settings) if settings.expected_work else None
+        self.affinity = Affinity(vm, failure_domain) if settings.affinity_cost_share else None
         self.profiles: dict[str, RequestProfile] = {}
         self.outcomes = RecentOutcomes()
         self.latency_outcomes = RecentOutcomes()
@@ -110,6 +123,8 @@
             else:
                 target.update_row(vm, now)
             self.targets[vm.name] = target
+        if self.affinity is not None:
+            self.affinity.set_targets(vms)
 
     def place(self, profile: RequestProfile, tried: frozenset[Address], now: float) -> Decision:
         """Decide about one request, and count it as failed if it is rejected.
@@ -159,20 +174,50 @@
     ) -> Decision:
         """Return the decision about a request that may only be sent to the given targets."""
         objective = min(profile.latency_ms, profile.deadline - now)
-        expected_ms = self.latencies.expected_ms(profile.kind, objective)
+        estimate = self.estimate(profile, objective)
+        expected_ms = self.expected_ms(profile, objective, estimate)
         max_idle_ms = self.idle_limit.max_idle_ms(profile.idempotent, now)
+        affinity_cost = self.affinity_cost(expected_ms, now)
         candidates = [(target, self.inputs(target, expected_ms, now)) for target in targets]
         best, inputs = min(
             candidates,
             key=lambda each: self.cost(each[0], each[1], profile, expected_ms, now)
-            + self.connect_cost(each[0], max_idle_ms, expected_ms),
+            + self.connect_cost(each[0], max_idle_ms, expected_ms)
+            + affinity_cost(each[0]),
         )
         if self.is_too_late(profile, inputs, expected_ms, now):
             return Reject("too-late", self.retry_after_ms(inputs.wait_ms))
         if inputs.wait_ms > self.max_wait_ms(profile):
             return self.wait_or_reject(profile, "no-room", inputs.wait_ms, now)
+        if estimate is not None:
+            inputs = replace(inputs, work=self.work_inputs(best, estimate, now))
         return Place(best.vm.name, best.vm.address, inputs, reason)
 
+    def estimate(self, profile: RequestProfile, objective_ms: float) -> Estimate | None:
+        """Return the expected work of a request; None unless the settings ask for it."""
+        if self.work is None:
+            return None
+        packed = features.pack(profile.features, profile.customer)
+        return self.work.estimate(profile.kind, packed, objective_ms)
+
+    def expected_ms(
+        self, profile: RequestProfile, objective_ms: float, estimate: Estimate | None
+    ) -> float:
+        """Return the expected time of a request at a target without a queue, in milliseconds."""
+        if estimate is not None:
+            return estimate.mean_ms
+        return self.latencies.expected_ms(profile.kind, objective_ms)
+
+    def work_inputs(self, target: Target, estimate: Estimate, now: float) -> WorkInputs:
+        """Return an estimate and the remaining work of the chosen target, for the log."""
+        return WorkInputs(
+            expected_ms=round(estimate.mean_ms, 1),
+            spread=round(estimate.spread, 2),
+            samples=estimate.samples,
+            source=estimate.source,
+            remaining_ms=round(self.remaining_ms(target, estimate.mean_ms, now), 1),
+        )
+
     def is_too_late(
         self, profile: RequestProfile, inputs: PlacementInputs, expected_ms: float, now: float
     ) -> bool:
@@ -285,13 +330,51 @@
             return 0.0
         return self.settings.connect_cost_share * self.busy_cost(1, target, expected_ms)
 
+    def affinity_cost(self, expected_ms: float, now: float) -> Callable[[Target], float]:
+        """Return the cost of a target by whether this entry prefers it, in milliseconds."""
+        affinity = self.affinity
+        if affinity is None:
+            return lambda target: 0.0
+        size = affinity.size(self.idle_limit.max_idle_ms(False, now), now)
+        share = self.settings.affinity_cost_share
+
+        def cost(target: Target) -> float:
+            if affinity.ranks[target.vm.name] < size:
+                return 0.0
+            return share * self.busy_cost(1, target, expected_ms)
+
+        return cost
+
+    def remaining_ms(self, target: Target, default_ms: float, now: float) -> float:
+        """Return the expected remaining work of a target's requests in flight, in milliseconds."""
+        if self.work is None:
+            return target.load * self.latencies.mean_ms(default_ms)
+        return target.remaining_ms(self.work.mean_ms(default_ms), now)
+
+    def slowness(self, target: Target, now: float) -> float:
+        """Return the latency at a target as a multiple of the expected latency."""
+        slowness = target.evidence.slowness(now)
+        if now >= target.cold_until:
+            return slowness
+        cold = self.settings.cold_factor
+        if self.work is not None:
+            cold = 1.0 + (cold - 1.0) * (target.cold_until - now) / target.vm.warm_up_ms
+        return max(slowness, cold)
+
+    def wait_ms(self, target: Target, expected_ms: float, now: float) -> float:
+        """Return the expected time in a target's queue at usual speed, in milliseconds."""
+        queued = target.load + 1 - target.slots
+        if queued <= 0:
+            return 0.0
+        if self.work is None:
+            return queued / target.slots * self.latencies.mean_ms(expected_ms)
+        remaining_ms = self.remaining_ms(target, expected_ms, now)
+        return queued / target.slots * remaining_ms / target.load
+
     def inputs(self, target: Target, expected_ms: float, now: float) -> PlacementInputs:
         """Return what is known of a target."""
-        slowness = target.evidence.slowness(now)
-        if now < target.cold_until:
-            slowness = max(slowness, self.settings.cold_factor)
-        queued = max(0, target.load + 1 - target.slots)
-        wait_ms = queued / target.slots * self.latencies.mean_ms(expected_ms) * slowness
+        slowness = self.slowness(target, now)
+        wait_ms = self.wait_ms(target, expected_ms, now) * slowness
         failure_share = target.evidence.failure_share(now)
         return PlacementInputs(
             load=target.load,
@@ -321,19 +404,74 @@
         limited = sum(self.rate_limits.is_limited(target.vm.name) for target in local)
         return TargetCounts(len(local), unused, limited, leaving, paused)
 
-    def record_start(self, name: str, now: float) -> None:
-        """Record that a request was sent to a target."""
-        if name in self.targets:
-            self.targets[name].own_load += 1
-            self.targets[name].used_at = now
-            self.rate_limits.record_start(name, now)
+    def record_start(
+        self,
+        name: str,
+        now: float,
+        profile: RequestProfile | None = None,
+        wait_ms: float = 0.0,
+    ) -> RunningWork | None:
+        """Record that a request was sent to a target.
+
+        Parameters
+        ----------
+        name
+            Name of the target.
+        now
+            Current time in milliseconds (monotonic clock of the process).
+        profile
+            The request; None if nothing is known of it.
+        wait_ms
+            Expected time in the target's queue.
+
+        Returns
+        -------
+        RunningWork or None
+            The request in flight, for `record_end`; None unless the settings ask for its work.
+        """
+        target = self.targets.get(name)
+        if target is None:
+            return None
+        target.own_load += 1
+        target.used_at = now
+        self.rate_limits.record_start(name, now)
+        if self.affinity is not None:
+            self.affinity.record_request(now)
+        if self.work is None or profile is None:
+            return None
+        packed = features.pack(profile.features, profile.customer)
+        estimate = self.work.estimate(profile.kind, packed, profile.latency_ms)
+        running = RunningWork(estimate.mean_ms, wait_ms, now + wait_ms, packed)
+        target.own_work.add(running)
+        return running
+
+    def record_end(
+        self, observation: Observation, now: float, running: RunningWork | None = None
+    ) -> Observation:
+        """Record the end of one of this entry's attempts.
+
+        Parameters
+        ----------
+        observation
+            Result of the attempt.
+        now
+            Current time in milliseconds (monotonic clock of the process).
+        running
+            What `record_start` returned.
 
-    def record_end(self, observation: Observation, now: float) -> None:
-        """Record the end of one of this entry's attempts."""
+        Returns
+        -------
+        Observation
+            The observation for the other entries.
+        """
+        if running is not None:
+            observation = running.describe(observation)
         target = self.targets.get(observation.target)
         if target is None:
-            return
+            return observation
         target.own_load = max(0, target.own_load - 1)
+        if running is not None:
+            target.own_work.discard(running)
         match observation.outcome:
             case Outcome.UNREACHABLE:
                 target.record_unreachable(now)
@@ -342,6 +480,7 @@
             case _:
                 target.record_connected()
         self.record_observation(observation, now)
+        return observation
 
     def record_observation(self, observation: Observation, now: float) -> None:
         """Apply the result of an attempt of any entry."""
@@ -358,6 +497,7 @@
             self.idle_limit.record_loss(observation.latency_ms, now)
         elif observation.outcome in FAILURE_OUTCOMES:
             target.record_failure(1.0, now)
+            self.record_work_bound(target, observation, now)
         elif observation.outcome is Outcome.SERVED:
             self.record_latency(target, observation, now)
 
@@ -372,8 +512,66 @@
         self.latency_outcomes.add(observation.latency_ms <= objective, now)
         self.latencies.record(observation.kind, observation.latency_ms, objective)
         slowness = observation.latency_ms / max(1.0, expected_ms)
+        if self.work is not None:
+            slowness = self.record_work(self.work, target, observation, objective, now)
         target.evidence.record_success(min(self.settings.max_slowness, slowness), now)
 
-    def overdue_ms(self, kind: str, objective_ms: float) -> float:
-        """Return the time after which a request in flight counts as evidence of failure."""
-        return self.settings.overdue_factor * self.latencies.expected_ms(kind, objective_ms)
+    def record_work(
+        self,
+        work: WorkEstimates,
+        target: Target,
+        observation: Observation,
+        objective_ms: float,
+        now: float,
+    ) -> float:
+        """Learn from a response how much work its request was.
+
+        Returns
+        -------
+        float
+            Its latency without the expected wait, as a multiple of the expected work.
+        """
+        service_ms = self.service_ms(target, observation, now)
+        kind, packed = observation.kind, observation.packed
+        expected_ms = work.estimate(kind, packed, objective_ms).mean_ms
+        work.record(kind, packed, service_ms / target.evidence.slowness(now), objective_ms)
+        return service_ms / max(1.0, expected_ms)
+
+    def record_work_bound(self, target: Target, observation: Observation, now: float) -> None:
+        """Learn from an attempt that timed out that its request was more work than that."""
+        if self.work is None or observation.outcome is not Outcome.TIMED_OUT:
+            return
+        profile = self.profiles.get(observation.kind)
+        objective_ms = observation.latency_ms if profile is None else profile.latency_ms
+        bound_ms = self.service_ms(target, observation, now) / target.evidence.slowness(now)
+        self.work.record_bound(observation.kind, observation.packed, bound_ms, objective_ms)
+
+    def service_ms(self, target: Target, observation: Observation, now: float) -> float:
+        """Return the part of a latency that was not spent in the target's queue, in milliseconds.
+
+        If the entry that sent the request does not tell, the present queue is assumed.
+        """
+        if observation.service_ms:
+            return observation.service_ms
+        latency_ms = observation.latency_ms
+        wait_ms = self.wait_ms(target, latency_ms, now) * target.evidence.slowness(now)
+        return service_share(latency_ms, wait_ms)
+
+    def overdue_ms(
+        self, kind: str, objective_ms: float, running: RunningWork | None = None
+    ) -> float:
+        """Return the time after which a request in flight counts as evidence of failure.
+
+        Parameters
+        ----------
+        kind
+            Kind of request.
+        objective_ms
+            Its latency objective in milliseconds.
+        running
+            The request, if its expected work is known.
+        """
+        expected_ms = self.latencies.expected_ms(kind, objective_ms)
+        if running is not None:
+            expected_ms = max(expected_ms, running.expected_ms)
+        return self.settings.overdue_factor * expected_ms
--- a/cactusvane/placement/relaying.py
+++ b/cactusvane/placement/relaying.py
@@ -447,6 +447,7 @@
         update.retry_usage,
         update.rate_limits,
         update.leaving,
+        update.work,
     )
     reports = ITEMS_PER_REPORT * len(update.crash_reports)
     return 2 + reports + sum(len(part) for part in parts if part)
--- a/cactusvane/placement/settings.py
+++ b/cactusvane/placement/settings.py
@@ -45,6 +45,12 @@
     connect_cost_share
         Cost of a new connection compared to an idle one, as a share of that of a busy slot. It is
         below 1, so that an idle target is preferred to a busy one.
+    affinity_cost_share
+        Cost of a target outside the subset that this entry prefers, as a share of that of a busy
+        slot; 0 for no preference.
+    expected_work
+        Whether a request is placed by its own expected work and the remaining work of the targets,
+        instead of by the mean latencies of all requests.
     cold_factor
         Slowness of a target during warm-up.
     wait_share
@@ -96,6 +102,8 @@
     remote_cost_share: float = 0.6
     busy_cost_share: float = 0.3
     connect_cost_share: float = 0.8
+    affinity_cost_share: float = 0.0
+    expected_work: bool = False
     cold_factor: float = 2.0
     wait_share: float = 0.125
     reserve_share: float = 0.5
--- a/cactusvane/placement/target.py
+++ b/cactusvane/placement/target.py
@@ -1,15 +1,33 @@
 """State of one target as one entry knows it: load, evidence, reachability."""
 
+from dataclasses import dataclass
 from math import inf
 
 from cactusvane.fleet.vm import Vm, VmState
 from cactusvane.placement.evidence import Evidence
 from cactusvane.placement.settings import PlacementSettings
+from cactusvane.placement.work import RunningWork
 
 DEFAULT_SLOTS = 1
 """Slots of a target that does not declare how many it has."""
 
 
+@dataclass(frozen=True, slots=True)
+class PeerWork:
+    """Requests of another entry in flight at a target, as of its latest update.
+
+    Parameters
+    ----------
+    count
+        Number of requests.
+    remaining_ms
+        Their remaining work in milliseconds; None if the entry does not tell.
+    """
+
+    count: int
+    remaining_ms: float | None
+
+
 class Target:
     """A listed target.
 
@@ -28,6 +46,10 @@
         This entry's requests in flight.
     peer_load
         Requests in flight of the other entries of the failure domain.
+    own_work
+        This entry's requests in flight, if their expected work is known.
+    peer_work
+        The other entries' requests in flight, by entry.
     unreachable_until
         End of the backoff after this entry could not reach it.
     failed_at
@@ -50,6 +72,8 @@
         "misplaced",
         "peer_load",
         "own_load",
+        "own_work",
+        "peer_work",
         "unreachable_until",
         "settings",
         "used_at",
@@ -61,6 +85,8 @@
         self.evidence = Evidence(settings)
         self.own_load = 0
         self.peer_load = 0
+        self.own_work: set[RunningWork] = set()
+        self.peer_work: dict[str, PeerWork] = {}
         self.unreachable_until = 0.0
         self.consecutive_failures = 0
         self.misplaced = False
@@ -82,6 +108,26 @@
         """Requests in flight, as far as this entry knows."""
         return self.own_load + self.peer_load
 
+    def own_remaining_ms(self, now: float) -> float:
+        """Return the remaining work of this entry's requests in flight, in milliseconds."""
+        return sum(work.remaining_ms(now) for work in self.own_work)
+
+    def remaining_ms(self, mean_ms: float, now: float) -> float:
+        """Return the remaining work of all requests in flight, in milliseconds.
+
+        Parameters
+        ----------
+        mean_ms
+            Work that is assumed for requests of which nothing is known.
+        now
+            Current time in milliseconds (monotonic clock of the process).
+        """
+        total_ms = self.own_remaining_ms(now) + (self.own_load - len(self.own_work)) * mean_ms
+        for each in self.peer_work.values():
+            known_ms = each.remaining_ms
+            total_ms += each.count * mean_ms if known_ms is None else known_ms
+        return total_ms
+
     @property
     def slots(self) -> int:
         """Requests that the target runs concurrently."""
