--- a/bench/load.py
+++ b/bench/load.py
@@ -39,6 +39,8 @@
     Wait,
 )
 from cactusvane.placement.retries import RetryLimit
+from cactusvane.placement.settings import PlacementSettings
+from cactusvane.placement.work import RunningWork
 from cactusvane.request.attempts import (
     AttemptFailed,
     AttemptResult,
@@ -50,7 +52,6 @@
 from cactusvane.request.budget import RetryBudget, RetryLimiter, RetrySettings
 from cactusvane.verdict import Verdict
 
-SLOTS = 4
 ENTRIES = 16
 """Number of entries in each failure domain."""
 
@@ -96,10 +97,12 @@
 class SharedEntry:
     """An entry that places requests by the state that its failure domain shares."""
 
+    settings = PlacementSettings()
+
     def __init__(self, fleet: Fleet, name: str, domain: str) -> None:
         self.fleet = fleet
         self.name = name
-        self.domain = Domain(name, domain, 1, Random(name), limit=LIMIT)
+        self.domain = Domain(name, domain, 1, Random(name), self.settings, limit=LIMIT)
         self.domain.set_targets({"s": tuple(target.vm for target in fleet.targets)}, 0.0)
         self.domain.configure(Configuration((Service("s", (), (), 1, 1, 1),)), 0.0)
         self.placement = self.domain.placements["s"]
@@ -110,15 +113,16 @@
         """Choose a target."""
         return self.placement.place(profile, tried, self.fleet.simulator.now)
 
-    def record_start(self, name: str) -> None:
+    def record_start(self, place: Place, profile: RequestProfile) -> RunningWork | None:
         """Record the start of an attempt."""
-        self.placement.record_start(name, self.fleet.simulator.now)
+        now = self.fleet.simulator.now
         self.schedule_update()
+        return self.placement.record_start(place.name, now, profile, place.inputs.wait_ms)
 
-    def record_end(self, observation: Observation) -> None:
+    def record_end(self, observation: Observation, running: RunningWork | None) -> None:
         """Record the end of an attempt and schedule a state update."""
-        self.placement.record_end(observation, self.fleet.simulator.now)
-        self.domain.observe(observation)
+        now = self.fleet.simulator.now
+        self.domain.observe(self.placement.record_end(observation, now, running))
         self.schedule_update()
 
     def expected_latency_ms(self, kind: Kind) -> float | None:
@@ -147,6 +151,31 @@
                 entry.domain.receive(update, self.address, now)
 
 
+class WorkEntry(SharedEntry):
+    """The same by the expected work of each request."""
+
+    settings = PlacementSettings(expected_work=True)
+
+
+class LeastRequestsEntry(SharedEntry):
+    """An entry that chooses the target of its failure domain with the fewest requests in flight."""
+
+    def place(self, profile: RequestProfile, tried: frozenset[Address]) -> Place | Wait | Reject:
+        """Choose the target with the fewest requests, a random one among equals."""
+        own = self.domain.failure_domain
+        local = [
+            target
+            for target in self.placement.targets.values()
+            if target.vm.failure_domain == own and target.vm.address not in tried
+        ]
+        if not local:
+            return Reject("no-target", 100.0)
+        random = self.fleet.random
+        best = min(local, key=lambda target: (target.load / target.slots, random.random()))
+        inputs = self.placement.inputs(best, 1.0, self.fleet.simulator.now)
+        return Place(best.vm.name, best.vm.address, inputs)
+
+
 class BlindEntry(SharedEntry):
     """An entry that chooses a random target of its failure domain and shares no state."""
 
@@ -204,6 +233,8 @@
             self.arrived,
             self.attempts.deadline,
             route.latency_ms,
+            kind.customer,
+            features=kind.features,
         )
         self.tried: frozenset[Address] = frozenset()
 
@@ -222,24 +253,26 @@
         """Choose a target, or wait for a free slot."""
         decision = self.entry.place(self.profile, self.tried)
         match decision:
-            case Place(name, address):
-                self.send(command, name, address)
+            case Place():
+                self.send(command, decision)
             case Wait():
                 self.simulator.after(10.0, lambda: self.choose(command))
             case Reject():
                 self.fleet.tally.rejected += 1
                 self.execute(self.attempts.after_attempt(NoTarget(), self.simulator.now))
 
-    def send(self, command: SendAttempt, name: str, address: Address) -> None:
+    def send(self, command: SendAttempt, place: Place) -> None:
         """Send the request to a target, with a timeout."""
-        self.tried |= {address}
-        self.entry.record_start(name)
+        name = place.name
+        self.tried |= {place.address}
+        running = self.entry.record_start(place, self.profile)
         sent = self.simulator.now
 
         def end_attempt(outcome: Outcome) -> None:
             call.cancelled = True
             latency = self.simulator.now - sent
-            self.entry.record_end(Observation(name, self.kind.route.kind, outcome, latency))
+            observation = Observation(name, self.kind.route.kind, outcome, latency)
+            self.entry.record_end(observation, running)
             self.handle_outcome(outcome)
 
         call = Call(self.work_ms, end_attempt)
@@ -289,19 +322,31 @@
     found = []
     now = 0.0
     while now < LENGTH_MS:
-        rate = pattern.load(now) * pattern.targets * SLOTS / mean
+        rate = pattern.load(now) * pattern.targets * pattern.slots / mean
         now += random.expovariate(rate)
         (kind,) = random.choices(pattern.kinds, shares)
-        found.append((now, kind, kind.work_ms * random.lognormvariate(-0.18, 0.6)))
+        found.append((now, kind, pattern.work_ms(kind, now, random)))
     return found
 
 
+def choose_entry(pattern: Pattern, fleet: Fleet) -> SharedEntry:
+    """Return the entry that receives the next request."""
+    now = fleet.simulator.now
+    weights = [pattern.domain_weight(domain, now) for domain in DOMAINS]
+    if len(set(weights)) == 1:
+        return fleet.random.choice(fleet.entries)
+    (domain,) = fleet.random.choices(DOMAINS, weights)
+    return fleet.random.choice(
+        [entry for entry in fleet.entries if entry.domain.failure_domain == domain]
+    )
+
+
 def run_pattern(pattern: Pattern, seed: int, make: MakeEntry) -> Tally:
     """Simulate a pattern with entries made by `make`."""
     simulator = Simulator()
     random = Random(seed)
     work = arrivals(pattern, random)
-    fleet = Fleet(simulator, random, make_targets(simulator, pattern, random, SLOTS))
+    fleet = Fleet(simulator, random, make_targets(simulator, pattern, random))
     fleet.by_name = {target.vm.name: target for target in fleet.targets}
     for domain in DOMAINS:
         for number in range(ENTRIES):
@@ -309,7 +354,8 @@
             fleet.entries.append(entry)
 
     def arrive(kind: Kind, work_ms: float) -> None:
-        SimulatedRequest(fleet, random.choice(fleet.entries), kind, work_ms).start()
+        entry = choose_entry(pattern, fleet)
+        SimulatedRequest(fleet, entry, kind, work_ms).start()
 
     for at, kind, work_ms in work:
         simulator.after(at, lambda kind=kind, work_ms=work_ms: arrive(kind, work_ms))  # type: ignore[misc]
@@ -334,7 +380,7 @@
         for number in range(pattern.targets):
             mode: Mode = pattern.modes(number, simulator.now)
             good = not mode.unreachable and mode.fail_share < 0.5 and mode.factor < 2.0
-            if good and busy[number] < SLOTS:
+            if good and busy[number] < pattern.slots:
                 return number
         return None
 
--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -5,15 +5,19 @@
 import heapq
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import count
+from math import pi, sin
 from random import Random
 
 from cactusvane.configuration.model import Route
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.outcome import Outcome
+from cactusvane.placement.features import RequestFeatures, size_class
 
 DOMAINS = ("a", "b", "c")
+SLOTS = 4
+TAIL_FACTOR = 7.0
 QUEUE = 16
 """Maximum number of requests that a target queues while its slots are busy."""
 
@@ -35,12 +39,16 @@
         Weight in the random choice of a request's kind.
     worth
         Value of a request that is served within its latency objective.
+    features, customer
+        What distinguishes the requests from others of the same route.
     """
 
     route: Route
     work_ms: float
     share: float
     worth: float
+    features: RequestFeatures | None = None
+    customer: str = ""
 
 
 URGENT = Kind(
@@ -112,6 +120,14 @@
         Offered load as a share of the capacity of all slots, at a time in milliseconds.
     modes
         Modes of the targets.
+    slots
+        Slots of each target.
+    work_factor
+        Work of a request as a multiple of that of its kind, at a time in milliseconds.
+    tail_share
+        Share of requests with `TAIL_FACTOR` times the work.
+    domain_weight
+        Share of the callers in a failure domain at a time in milliseconds, relative to the others.
     """
 
     name: str
@@ -119,6 +135,17 @@
     targets: int
     load: Callable[[float], float]
     modes: Modes
+    slots: int = SLOTS
+    work_factor: Callable[[Kind, float], float] = lambda kind, now: 1.0
+    tail_share: float = 0.0
+    domain_weight: Callable[[str, float], float] = lambda domain, now: 1.0
+
+    def work_ms(self, kind: Kind, now: float, random: Random) -> float:
+        """Return the work of one request."""
+        work_ms = kind.work_ms * self.work_factor(kind, now) * random.lognormvariate(-0.18, 0.6)
+        if self.tail_share and random.random() < self.tail_share:
+            work_ms *= TAIL_FACTOR
+        return work_ms
 
 
 @dataclass(slots=True)
@@ -204,9 +231,7 @@
             call.on_end(outcome)
 
 
-def make_targets(
-    simulator: Simulator, pattern: Pattern, random: Random, slots: int
-) -> list[Target]:
+def make_targets(simulator: Simulator, pattern: Pattern, random: Random) -> list[Target]:
     """Return the targets of a pattern."""
 
     def mode_of(number: int) -> Callable[[], Mode]:
@@ -216,7 +241,7 @@
     for number in range(pattern.targets):
         domain = DOMAINS[number % len(DOMAINS)]
         address = Address("10.0.0.1", 8_000 + number)
-        vm = Vm(f"t{number}", address, domain, service="s", slots=slots)
+        vm = Vm(f"t{number}", address, domain, service="s", slots=pattern.slots)
         found.append(Target(simulator, vm, mode_of(number), random))
     return found
 
@@ -275,3 +300,87 @@
     Pattern("tight reads gray", (TIGHT,), 9, surge(0.45, 0.8, 6e3, 16e3), ROTATING_GRAY),
     Pattern("reads gray", (URGENT,), 6, steady(0.45), rotating(Mode(0.75), 4_000, 3)),
 )
+
+
+MIXED_ROUTE = Route(
+    "/m/", ("POST",), False, "mixed", 3_000, latency_ms=1_500, attempts=2, priority=1
+)
+LIGHT_MS = 60.0
+HEAVY_MS = 600.0
+"""Similar requests differ by a factor of ten; one in four is a heavy one."""
+
+HEAVY_SHARE = 0.25
+
+
+def mixed(light: tuple[str, int, str], heavy: tuple[str, int, str]) -> tuple[Kind, ...]:
+    """Return light and heavy requests of one route.
+
+    Parameters
+    ----------
+    light, heavy
+        Path segment, body size in bytes and customer of each.
+    """
+    found = []
+    shares = ((light, LIGHT_MS, 1.0 - HEAVY_SHARE), (heavy, HEAVY_MS, HEAVY_SHARE))
+    for (segment, size, customer), work_ms, share in shares:
+        features = RequestFeatures("POST", segment, size_class(size))
+        found.append(Kind(MIXED_ROUTE, work_ms, share, 1.0, features, customer))
+    return tuple(found)
+
+
+BY_PATH = mixed(("find", 100, "c"), ("report", 100, "c"))
+BY_CUSTOMER = mixed(("find", 100, "small"), ("find", 100, "large"))
+BY_SIZE = mixed(("find", 100, "c"), ("find", 100_000, "c"))
+BY_NOTHING = mixed(("find", 100, "c"), ("find", 100, "c"))
+
+SPEEDS = tuple(Mode(factor=factor) for factor in (0.5, 1.0, 1.5))
+"""Speeds that differ by a factor of three, at usual speed on average."""
+
+SWING = 0.55
+SWING_PERIOD_MS = 12_000.0
+
+
+def by_speed(number: int, now: float) -> Mode:
+    """Return the mode of a target whose speed is fixed; each failure domain has all speeds."""
+    return SPEEDS[number // len(DOMAINS) % len(SPEEDS)]
+
+
+def swing(domain: str, now: float) -> float:
+    """Return the load of a failure domain, which swings around 1 with a phase of its own."""
+    phase = DOMAINS.index(domain) / len(DOMAINS)
+    return 1.0 + SWING * sin(2.0 * pi * (now / SWING_PERIOD_MS + phase))
+
+
+def heavier_paths(kind: Kind, now: float) -> float:
+    """Return ten times the work for the light path in the middle of the run."""
+    is_light = kind.work_ms == LIGHT_MS
+    return 10.0 if is_light and 8_000.0 <= now < 16_000.0 else 1.0
+
+
+WORK_TARGETS = 18
+WORK_SLOTS = 2
+WORK_LOAD = surge(0.6, 1.1, 8_000, 14_000)
+STEADY_LOAD = steady(0.7)
+
+
+def work_pattern(
+    name: str,
+    kinds: tuple[Kind, ...],
+    load: Callable[[float], float] = WORK_LOAD,
+    modes: Modes = healthy,
+) -> Pattern:
+    """Return a pattern with targets of two slots."""
+    return Pattern(name, kinds, WORK_TARGETS, load, modes, WORK_SLOTS)
+
+
+WORK_PATTERNS = (
+    work_pattern("work by path", BY_PATH),
+    work_pattern("work by customer", BY_CUSTOMER),
+    work_pattern("work by size", BY_SIZE),
+    work_pattern("work by nothing", BY_NOTHING),
+    work_pattern("three speeds", BY_PATH, STEADY_LOAD, by_speed),
+    replace(work_pattern("swing", BY_PATH, STEADY_LOAD), domain_weight=swing),
+    replace(work_pattern("tail", BY_PATH, steady(0.55)), tail_share=0.05),
+    replace(work_pattern("wrong estimate", BY_PATH, steady(0.25)), work_factor=heavier_paths),
+)
+"""Patterns for placement by expected work."""
--- a/cactusvane/placement/affinity.py
+++ b/cactusvane/placement/affinity.py
@@ -18,7 +18,7 @@
 """Half-life of the requests that the rate is computed from; longer than connections are kept."""
 
 INTERVAL_SHARE = 0.5
-"""Mean interval between two uses of a member, as a share of the time for which connections are kept.
+"""Mean interval between two uses of a member, as a share of how long connections are kept.
 
 With a share of 0.5 and requests at random times, one interval in seven is too long.
 """
