--- a/cactusvane/placement/affinity.py
+++ b/cactusvane/placement/affinity.py
@@ -49,7 +49,8 @@
     def __init__(self, vm: str, failure_domain: str) -> None:
         self.vm = vm
         self.failure_domain = failure_domain
-        self.ranks: dict[str, int] = {}
+        self.order: tuple[str, ...] = ()
+        self.latest: frozenset[str] = frozenset()
         self.requests = 0.0
         self.updated_at = -inf
 
@@ -62,7 +63,15 @@
                 hash_name(f"{self.vm}/{vm.name}"),
             ),
         )
-        self.ranks = {vm.name: rank for rank, vm in enumerate(order)}
+        self.order = tuple(vm.name for vm in order)
+        self.latest = frozenset()
+
+    def preferred(self, kept_ms: float, now: float) -> frozenset[str]:
+        """Return the names of the preferred targets; parameters as for `size`."""
+        size = min(len(self.order), self.size(kept_ms, now))
+        if len(self.latest) != size:
+            self.latest = frozenset(self.order[:size])
+        return self.latest
 
     def record_request(self, now: float) -> None:
         """Record that this entry sent a request to any target of the service."""
@@ -89,4 +98,4 @@
             Current time in milliseconds (monotonic clock of the process).
         """
         interval_s = INTERVAL_SHARE * min(MAX_KEPT_MS, kept_ms) / MS_PER_SECOND
-        return max(1, int(self.rate_per_s(now) * interval_s))
+        return max(1, round(self.rate_per_s(now) * interval_s))
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -177,13 +177,13 @@
         estimate = self.estimate(profile, objective)
         expected_ms = self.expected_ms(profile, objective, estimate)
         max_idle_ms = self.idle_limit.max_idle_ms(profile.idempotent, now)
-        affinity_cost = self.affinity_cost(expected_ms, now)
+        preferred = self.preferred(now)
         candidates = [(target, self.inputs(target, expected_ms, now)) for target in targets]
         best, inputs = min(
             candidates,
             key=lambda each: self.cost(each[0], each[1], profile, expected_ms, now)
             + self.connect_cost(each[0], max_idle_ms, expected_ms)
-            + affinity_cost(each[0]),
+            + self.affinity_cost(each[0], preferred, expected_ms),
         )
         if self.is_too_late(profile, inputs, expected_ms, now):
             return Reject("too-late", self.retry_after_ms(inputs.wait_ms))
@@ -330,20 +330,19 @@
             return 0.0
         return self.settings.connect_cost_share * self.busy_cost(1, target, expected_ms)
 
-    def affinity_cost(self, expected_ms: float, now: float) -> Callable[[Target], float]:
-        """Return the cost of a target by whether this entry prefers it, in milliseconds."""
-        affinity = self.affinity
-        if affinity is None:
-            return lambda target: 0.0
-        size = affinity.size(self.idle_limit.max_idle_ms(False, now), now)
-        share = self.settings.affinity_cost_share
-
-        def cost(target: Target) -> float:
-            if affinity.ranks[target.vm.name] < size:
-                return 0.0
-            return share * self.busy_cost(1, target, expected_ms)
+    def preferred(self, now: float) -> frozenset[str] | None:
+        """Return the names of the targets that this entry prefers; None without a preference."""
+        if self.affinity is None:
+            return None
+        return self.affinity.preferred(self.idle_limit.max_idle_ms(False, now), now)
 
-        return cost
+    def affinity_cost(
+        self, target: Target, preferred: frozenset[str] | None, expected_ms: float
+    ) -> float:
+        """Return the cost of a target by whether this entry prefers it, in milliseconds."""
+        if preferred is None or target.vm.name in preferred:
+            return 0.0
+        return self.settings.affinity_cost_share * self.busy_cost(1, target, expected_ms)
 
     def remaining_ms(self, target: Target, default_ms: float, now: float) -> float:
         """Return the expected remaining work of a target's requests in flight, in milliseconds."""
@@ -433,7 +432,7 @@
         profile
             The request; None if nothing is known of it.
         wait_ms
-            Expected time in the target's queue.
+            Expected time in the target's queue, as in `PlacementInputs`.
 
         Returns
         -------
@@ -546,7 +545,9 @@
         service_ms = self.service_ms(target, observation, now)
         kind, packed = observation.kind, observation.packed
         expected_ms = work.estimate(kind, packed, objective_ms).mean_ms
-        work.record(kind, packed, service_ms / target.evidence.slowness(now), objective_ms)
+        slowness = target.evidence.slowness(now)
+        work.record(kind, packed, work.at_usual_speed(service_ms, slowness), objective_ms)
+        work.usual_slowness.record(slowness)
         return service_ms / max(1.0, expected_ms)
 
     def record_work_bound(self, target: Target, observation: Observation, now: float) -> None:
@@ -555,7 +556,8 @@
             return
         profile = self.profiles.get(observation.kind)
         objective_ms = observation.latency_ms if profile is None else profile.latency_ms
-        bound_ms = self.service_ms(target, observation, now) / target.evidence.slowness(now)
+        service_ms = self.service_ms(target, observation, now)
+        bound_ms = self.work.at_usual_speed(service_ms, target.evidence.slowness(now))
         self.work.record_bound(observation.kind, observation.packed, bound_ms, objective_ms)
 
     def service_ms(self, target: Target, observation: Observation, now: float) -> float:
--- a/cactusvane/placement/work.py
+++ b/cactusvane/placement/work.py
@@ -185,6 +185,8 @@
     refinements
         By kind, refinement and its value: the mean work by path, in milliseconds; and the mean of
         the ratio of work to the less refined estimate, by path and size and by customer.
+    usual_slowness
+        Mean slowness of the targets that served requests.
 
     Examples
     --------
@@ -204,6 +206,7 @@
         self.refinements: dict[tuple[str, str, int], RunningMean] = {}
         self.until_aging = AGING_INTERVAL
         self.overall: RunningMean | None = None
+        self.usual_slowness = RunningMean(1.0, PRIOR_SAMPLES)
 
     def estimate(self, kind: str, packed: int, objective_ms: float) -> Estimate:
         """Return the expected work of a request.
@@ -275,6 +278,14 @@
             counted_ms = min(work_ms, MAX_BOUND_FACTOR * expected_ms)
             self.record(kind, packed, counted_ms, objective_ms)
 
+    def at_usual_speed(self, service_ms: float, slowness: float) -> float:
+        """Return the work of a request from its time at a target of the given slowness.
+
+        The slowness counts relative to that of the other targets: if all of them look fast or
+        slow, the expected work is wrong.
+        """
+        return service_ms * self.usual_slowness.mean / slowness
+
     def mean_ms(self, default_ms: float) -> float:
         """Return the mean work of all requests in ms, or `default_ms` before any sample."""
         return default_ms if self.overall is None else self.overall.mean
