--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -21,6 +21,7 @@
 from cactusvane.http.target_notice import read_notice
 from cactusvane.metrics import KindRecord
 from cactusvane.outcome import Outcome
+from cactusvane.placement.features import features_of
 from cactusvane.placement.messages import RequestProfile
 from cactusvane.report.objective import meets_objective, objective_of
 from cactusvane.request.admission import Ticket
@@ -155,6 +156,7 @@
             match.route.latency_ms,
             customer.name if customer else "",
             customer.priority if customer else 0,
+            features=features_of(request.method, request.path, match.route.path, len(request.body)),
         )
         self.lease: Lease | None = None
         self.tried: frozenset[Address] = frozenset()
--- a/cactusvane/placement/relaying.py
+++ b/cactusvane/placement/relaying.py
@@ -493,6 +493,7 @@
         update.retry_usage,
         update.rate_limits,
         update.leaving,
+        update.work,
     )
     reports = ITEMS_PER_REPORT * len(update.crash_reports)
     customers = count_customer_items(update.usage) + count_customer_items(update.levels)
