--- a/cactusvane/daemon.py
+++ b/cactusvane/daemon.py
@@ -145,7 +145,9 @@
         self.follower.on_change.append(self.apply_configuration)
         self.node = Node(settings, self.clock, self.entry, self.follower)
         self.server = Server(settings.http, self.entry.handle, self.recorder.budgets)
-        self.admin = Server(settings.http, self.handle_admin_request, self.recorder.budgets)
+        self.admin = Server(
+            settings.http.for_side(), self.handle_admin_request, self.recorder.budgets
+        )
         self.stopping = asyncio.Event()
         self.vm_list_known = False
         self.ready_logged = False
--- a/cactusvane/events.py
+++ b/cactusvane/events.py
@@ -52,6 +52,9 @@
     HTTP_UNANSWERED = EventKind(
         1104, logging.INFO, "a connection ended with {count} requests unanswered: {reason}"
     )
+    HTTP_CLIENT_CLOSED = EventKind(
+        1105, logging.INFO, "closed the connection of a client at {address}: {reason}"
+    )
     TARGET_EJECTED = EventKind(1201, logging.WARNING, "{service}: {target} was ejected: {reason}")
     TARGET_RETURNED = EventKind(1202, logging.INFO, "{service}: {target} was restored")
     OWN_PATH_SUSPECTED = EventKind(
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -162,8 +162,9 @@
         )
         self.lapsed = LapsedTargets(fleet.max_retention_ms(settings.http.connect_ms))
         self.server = Server(settings.http, self.entry.handle, self.budgets)
-        self.admin = Server(settings.http, self.handle_admin_request, self.budgets)
-        self.peer_server = Server(settings.http, self.handle_peer_request, self.budgets)
+        side = settings.http.for_side()
+        self.admin = Server(side, self.handle_admin_request, self.budgets)
+        self.peer_server = Server(side, self.handle_peer_request, self.budgets)
         self.configuration_rows: dict[str, bytes] = {}
         self.listed: tuple[Vm, ...] = ()
         self.stopping = asyncio.Event()
@@ -324,7 +325,7 @@
         self.entry.configure(found.configuration)
         if found.limits.body_bytes != self.server.limits.body_bytes:
             self.check_memory(found)
-        self.server.limits = found.limits
+        self.server.limits = self.settings.http.adopt(found.limits)
         events.write(Event.CONFIGURATION_ADOPTED, version=found.version)
         self.log_ready()
 
--- a/cactusvane/http/exchange.py
+++ b/cactusvane/http/exchange.py
@@ -54,6 +54,8 @@
     ----------
     upload
         What the request holds of that limit.
+    answered
+        Whether the handler has returned the response.
     response_bytes
         Size of a response that waits for the responses to earlier requests.
     may_respond
@@ -66,6 +68,7 @@
         self.head: h11.Request | None = None
         self.body = bytearray()
         self.upload = uploads.open()
+        self.answered = False
         self.response_bytes = 0
         self.task: asyncio.Task[None] | None = None
         self.may_respond: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -88,6 +91,15 @@
             return ""
         return f"{head.method.decode('ascii')} {head.target[:MAX_LOGGED_TARGET].decode('ascii')}"
 
+    def drop_body(self) -> None:
+        """Release the body of a request that will not run.
+
+        The connection may be part of a reference cycle, so that the body would be kept until the
+        next garbage collection.
+        """
+        self.body.clear()
+        self.upload.release()
+
     def allow_response(self) -> None:
         """Allow the response to be written."""
         if not self.may_respond.done():
--- a/cactusvane/http/memory.py
+++ b/cactusvane/http/memory.py
@@ -7,8 +7,10 @@
 Performs no I/O.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 from math import inf
 
 from cactusvane.http.turns import Turns
@@ -25,6 +27,25 @@
 """Share of the memory for the bodies of requests, which are buffered completely."""
 
 
+class ClosingReason(Enum):
+    """Why a caller's connection was closed although the caller did not ask for it."""
+
+    DISPLACED = "displaced"
+    """It gave way to a new connection, or its unfinished body to another body."""
+
+    STALLED = "stalled"
+    """A head or a body did not arrive in time."""
+
+    UNREAD = "unread"
+    """The caller did not read what was sent."""
+
+    BUSY = "busy"
+    """There was no place for it."""
+
+    ADDRESS_FULL = "address-full"
+    """Its client address had all the connections that one address may have."""
+
+
 class ByteBudget:
     """Number of bytes that the exchanges of a process may hold for one purpose.
 
@@ -32,6 +53,8 @@
     ----------
     limit
         Number of bytes above which it counts as exhausted.
+    parent
+        Budget of which this one is a part; what is held counts against both.
 
     Attributes
     ----------
@@ -51,8 +74,9 @@
     10000
     """
 
-    def __init__(self, limit: float = inf) -> None:
+    def __init__(self, limit: float = inf, parent: "ByteBudget | None" = None) -> None:
         self.limit = limit
+        self.parent = parent
         self.held = 0
         self.times_short = 0
         self.waiting: dict[Callable[[], None], None] = {}
@@ -62,6 +86,12 @@
         """Whether exchanges should hold no more than `SMALL_BYTES` each."""
         return self.held >= self.limit
 
+    def fits(self, size: int) -> bool:
+        """Return whether `size` more bytes can be held."""
+        if self.held + size > self.limit:
+            return False
+        return self.parent is None or self.parent.fits(size)
+
     def open(self) -> "Holding":
         """Return the account of a new exchange."""
         return Holding(self)
@@ -70,6 +100,8 @@
         """Add to the bytes that are held; wake those that wait for bytes to be released."""
         was_exhausted = self.is_exhausted
         self.held += difference
+        if self.parent is not None:
+            self.parent.change(difference)
         if self.is_exhausted and not was_exhausted:
             self.times_short += 1
         if self.waiting and not self.is_exhausted:
@@ -112,8 +144,7 @@
 
     def take(self, size: int) -> bool:
         """Set the number of bytes if the budget allows it; return whether it does."""
-        fits = self.budget.held + size - self.size <= self.budget.limit
-        if size > SMALL_BYTES and not fits:
+        if size > SMALL_BYTES and not self.budget.fits(size - self.size):
             self.budget.times_short += 1
             return False
         self.set(size)
@@ -136,11 +167,14 @@
         Bytes of the bodies of requests.
     turns
         Turns of the event loop for bytes that take long to handle.
+    closed
+        Number of callers' connections that this process closed, by reason.
     """
 
     responses: ByteBudget = field(default_factory=ByteBudget)
     uploads: ByteBudget = field(default_factory=ByteBudget)
     turns: Turns = field(default_factory=Turns)
+    closed: Counter[ClosingReason] = field(default_factory=Counter)
 
 
 def budgets_for(memory_mb: float) -> Budgets:
--- a/cactusvane/http/server_connection.py
+++ b/cactusvane/http/server_connection.py
@@ -9,12 +9,14 @@
 import h11
 
 from cactusvane import events
-from cactusvane.clock import MS_PER_SECOND
 from cactusvane.errors import BrokenResponseError, RequestError
 from cactusvane.events import Event
 from cactusvane.http.check import bad_request, body_too_large, check_head, check_lines
 from cactusvane.http.exchange import PIPELINED_METHODS, Caller, Exchange
+from cactusvane.http.memory import SMALL_BYTES, ClosingReason
 from cactusvane.http.message import BodyStream, Response, find_header
+from cactusvane.http.output import Output
+from cactusvane.http.places import Activity
 from cactusvane.http.refusal import error_response
 from cactusvane.http.timer import Timer
 from cactusvane.http.turns import EVENTS_PER_TURN
@@ -28,12 +30,12 @@
 """Time in milliseconds for which input is discarded after a rejection, so that a caller which is
 still sending can read the response."""
 
-WRITE_BUFFER_BYTES = 16_384
-"""Number of bytes waiting to be written above which a streamed response pauses."""
-
 NO_MEMORY_RETRY_AFTER_MS = 1_000.0
 """Delay after which a caller may repeat an upload that there was no memory for."""
 
+DISPLACED_RETRY_AFTER_MS = 1_000.0
+"""Delay after which a caller whose unfinished request gave way to others may repeat it."""
+
 MAX_PIPELINED = 8
 """Maximum number of pipelined requests of one connection that run concurrently."""
 
@@ -54,6 +56,12 @@
 
     Attributes
     ----------
+    address
+        The client's address, without the port.
+    pending_bytes
+        Number of bytes buffered while earlier requests run.
+    body_due_at
+        Time until which the body that is being received must be complete, in milliseconds.
     deferred
         Whether received bytes wait for a later turn of the event loop.
     ending
@@ -63,6 +71,8 @@
         Whether nothing more is read or written.
     was_reset
         Whether this side reset the connection.
+    was_displaced
+        Whether the connection was closed for the sake of another one.
     was_lost
         Whether the connection is closed, so that nothing waits to be written.
     """
@@ -70,11 +80,13 @@
     def __init__(self, server: "Server") -> None:
         self.server = server
         self.loop = asyncio.get_running_loop()
-        self.output = server.budgets.responses.open()
+        self.address = ""
         self.transport: asyncio.Transport
         self.timer = Timer(self.loop)
         self.exchanges: deque[Exchange] = deque()
+        self.output = Output(server.budgets.responses.open(), self.exchanges)
         self.incoming = self.new_exchange()
+        self.body_due_at = 0.0
         self.rejection: RequestError | None = None
         self.pending_bytes = 0
         self.head_started = False
@@ -83,9 +95,8 @@
         self.ending = False
         self.closing = False
         self.was_reset = False
+        self.was_displaced = False
         self.was_lost = False
-        self.writable = asyncio.Event()
-        self.writable.set()
 
     @property
     def limits(self) -> HttpLimits:
@@ -95,20 +106,22 @@
     def new_exchange(self) -> Exchange:
         """Return a new exchange for the next request."""
         parser = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.head_bytes)
-        return Exchange(parser, Caller(), self.server.budgets.uploads)
+        return Exchange(parser, Caller(), self.server.uploads_of(self.address))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Accept the connection, or reject it if there are too many."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        transport.set_write_buffer_limits(WRITE_BUFFER_BYTES, 0)
-        admitted = len(self.server.connections) < self.limits.connections
-        self.server.connections.add(self)
+        self.output.open(transport)
+        self.address = (transport.get_extra_info("peername") or ("",))[0]
+        reason = self.server.admit(self)
         if self.server.draining:
             self.transport.close()
-        elif admitted:
+        elif reason is None:
+            self.incoming = self.new_exchange()
             self.timer.set(self.limits.idle_ms, self.close)
         else:
+            self.server.budgets.closed[reason] += 1
             self.reject(bad_request("busy", "too many connections", 503))
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -117,9 +130,8 @@
         if not self.was_reset:
             self.log_unanswered("the caller closed it")
         self.timer.stop()
-        self.writable.set()
-        self.update_output()
-        self.incoming.upload.release()
+        self.output.close()
+        self.incoming.drop_body()
         self.server.remove(self)
         self.notify_gone()
 
@@ -132,6 +144,7 @@
             Event.HTTP_UNANSWERED,
             count=len(requests),
             reason=reason,
+            address=self.address,
             requests=requests,
             leaving=self.server.leaving,
             draining=self.server.draining,
@@ -149,21 +162,58 @@
         return bool(self.exchanges) and not self.closing
 
     def pause_writing(self) -> None:
-        """Pause a streamed response."""
-        self.writable.clear()
+        """Pause the responses, since the caller does not read."""
+        self.output.pause()
+        self.update_place()
 
     def resume_writing(self) -> None:
-        """Resume a streamed response."""
-        self.update_output()
-        self.writable.set()
-
-    def update_output(self) -> None:
-        """Record the bytes that wait to be written to the caller."""
-        if self.was_lost:
-            self.output.release()
-            return
-        waiting = sum(exchange.response_bytes for exchange in self.exchanges)
-        self.output.set(waiting + self.transport.get_write_buffer_size())
+        """Resume the responses."""
+        self.output.resume()
+        self.update_place()
+
+    @property
+    def activity(self) -> Activity:
+        """What the connection is doing."""
+        if self.closing:
+            return Activity.CLOSING
+        if self.exchanges:
+            unread = self.output.is_blocked and all(each.answered for each in self.exchanges)
+            return Activity.UNREAD if unread else Activity.RUNNING
+        if self.incoming.head is not None or self.head_started:
+            return Activity.RECEIVING
+        return Activity.IDLE
+
+    def update_place(self) -> None:
+        """Record what the connection is doing now."""
+        if not self.was_lost and not self.was_displaced:
+            self.server.places.put(self, self.activity, self.server.clock.now())
+
+    @property
+    def holds_large_body(self) -> bool:
+        """Whether the unfinished body takes more memory than each request may."""
+        return self.incoming.upload.size > SMALL_BYTES
+
+    def displace(self, reason: str) -> None:
+        """Close the connection for the sake of another one; an unfinished request is rejected."""
+        server = self.server
+        server.budgets.closed[ClosingReason.DISPLACED] += 1
+        events.write(
+            Event.HTTP_CLIENT_CLOSED,
+            address=self.address,
+            reason=reason,
+            activity=self.activity.name.lower(),
+            silent_ms=round(server.places.silent_ms(self, server.clock.now())),
+            held_bytes=self.incoming.upload.size,
+            of_address=server.by_address[self.address],
+            connections=len(server.places),
+        )
+        if self.activity is Activity.RECEIVING:
+            self.reject(
+                RequestError(503, "busy", reason, Verdict.NOT_RUN, DISPLACED_RETRY_AFTER_MS)
+            )
+        self.closing = self.was_displaced = True
+        server.places.remove(self)
+        self.transport.abort()
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return the buffer for the next read, which all connections share."""
@@ -180,6 +230,8 @@
         self.incoming.parser.receive_data(data)
         if self.may_read_next():
             self.advance()
+            self.update_place()
+            self.set_body_timer()
             return
         self.pending_bytes += len(data)
         if self.pending_bytes > self.limits.head_bytes:
@@ -187,7 +239,11 @@
 
     def may_read_next(self) -> bool:
         """Return whether the next request may be read while earlier ones are in progress."""
-        if self.ending or len(self.exchanges) >= MAX_PIPELINED:
+        if not self.exchanges:
+            return not self.ending
+        if self.ending or len(self.exchanges) >= MAX_PIPELINED or self.output.is_blocked:
+            return False
+        if self.server.ahead >= self.limits.pipelined:
             return False
         if self.incoming.head is not None and not self.may_run(self.incoming.head):
             return False
@@ -196,18 +252,51 @@
     def advance(self) -> None:
         """Handle the events that the parser has, many of them in later turns of the event loop."""
         if not self.deferred and self.handle_received():
+            self.defer()
+
+    def defer(self) -> None:
+        """Handle what the parser has in later turns of the event loop."""
+        if not self.deferred:
             self.deferred = True
             self.transport.pause_reading()
             self.server.budgets.turns.defer(self.handle_deferred)
 
     def handle_deferred(self) -> bool:
         """Handle deferred events; read on once there are none. Return whether there are more."""
-        if not self.closing and not self.rejection and self.handle_received():
+        if not self.discards_input and self.may_read_next() and self.handle_received():
             return True
         self.deferred = False
-        self.transport.resume_reading()
+        self.update_place()
+        self.update_reading()
+        self.set_body_timer()
         return False
 
+    @property
+    def discards_input(self) -> bool:
+        """Whether everything that is received from now on is discarded."""
+        return self.closing or self.rejection is not None
+
+    def update_reading(self) -> None:
+        """Read on, unless as much is buffered as may be while earlier requests run."""
+        if self.deferred:
+            return
+        if self.discards_input or self.may_read_next():
+            self.pending_bytes = 0
+        else:
+            self.pending_bytes = len(self.incoming.parser.trailing_data[0])
+        if self.pending_bytes > self.limits.head_bytes:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
+    def set_body_timer(self) -> None:
+        """Reject the body that is being received if it stalls or takes too long."""
+        head = self.incoming.head
+        if head is None or self.discards_input or not self.may_run(head):
+            return
+        left_ms = self.body_due_at - self.server.clock.now()
+        self.timer.set(max(0.0, min(self.limits.stall_ms, left_ms)), self.reject_slow_body)
+
     def handle_received(self) -> bool:
         """Handle some events of the parser; return whether there are more."""
         incoming = self.incoming
@@ -267,14 +356,19 @@
         if not self.may_run(head):
             self.timer.clear()
             return
-        self.timer.set(self.limits.body_ms, self.reject_slow_body)
+        self.begin_body()
+
+    def begin_body(self) -> None:
+        """Receive the body of a request that may run."""
+        self.body_due_at = self.server.clock.now() + self.limits.body_ms
+        self.set_body_timer()
         self.ask_for_body()
 
     def ask_for_body(self) -> None:
         """Send the interim response that the caller waits for, unless a response is due first."""
         if self.incoming.parser.they_are_waiting_for_100_continue and not self.exchanges:
             interim = h11.InformationalResponse(status_code=100, headers=[])
-            self.transport.write(self.incoming.parser.send(interim) or b"")
+            self.output.write(self.incoming.parser.send(interim) or b"")
 
     def reserve(self, size: int) -> None:
         """Reserve memory for a body of this size.
@@ -285,7 +379,11 @@
             There is not enough memory now: status 503.
         """
         upload = self.incoming.upload
-        if size > upload.size and not upload.take(size):
+        if size <= upload.size:
+            return
+        while not upload.take(size):
+            if self.server.displace_upload():
+                continue
             text = f"there is no room for a body of {size} bytes now"
             raise RequestError(503, "no-memory", text, Verdict.NOT_RUN, NO_MEMORY_RETRY_AFTER_MS)
 
@@ -308,12 +406,15 @@
         """Pass the complete request to the handler and start to read the next one."""
         self.timer.clear()
         exchange = self.incoming
-        if not self.exchanges:
+        is_ahead = bool(self.exchanges)
+        if not is_ahead:
             exchange.allow_response()
         self.exchanges.append(exchange)
         if self.caller_gone:
             exchange.caller.mark_gone()
         exchange.task = self.loop.create_task(self.serve(exchange))
+        if is_ahead:
+            self.server.count_ahead(exchange.task)
         if exchange.parser.their_state is not h11.MUST_CLOSE:
             data, closed = exchange.parser.trailing_data
             self.incoming = self.new_exchange()
@@ -329,8 +430,12 @@
         response: Response | None = None
         try:
             response = await self.call_handler(exchange)
+            exchange.answered = response.rest is None
             exchange.response_bytes = len(response.body)
-            self.update_output()
+            if not self.was_lost:
+                self.output.update()
+            if self.output.is_blocked:
+                self.update_place()
             await exchange.may_respond
             if not self.closing:
                 await self.send(exchange, response)
@@ -364,27 +469,22 @@
         exchange.response_bytes = 0
         head = exchange.encode_head(response, close)
         if response.rest is None:
-            self.write(head + exchange.encode_end())
+            self.output.write(head + exchange.encode_end())
         else:
-            self.write(head)
+            self.output.write(head)
             await self.wait_writable()
             await self.send_rest(exchange, response.rest)
             if self.closing:
                 return
-            self.write(exchange.encode_end())
+            self.output.write(exchange.encode_end())
         await self.wait_writable()
 
-    def write(self, data: bytes) -> None:
-        """Write to the transport, which buffers what the caller does not read."""
-        self.transport.write(data)
-        self.update_output()
-
     async def send_rest(self, exchange: Exchange, rest: BodyStream) -> None:
         """Write the remaining body of a large response as fast as the caller reads it."""
         async for part in rest:
             if self.closing:
                 return
-            self.write(exchange.encode_data(part))
+            self.output.write(exchange.encode_data(part))
             await self.wait_writable()
 
     async def wait_writable(self) -> None:
@@ -392,13 +492,13 @@
 
         The connection is reset if the caller reads nothing within `HttpLimits.body_ms`.
         """
-        while not self.writable.is_set():
-            before = self.transport.get_write_buffer_size()
-            try:
-                await asyncio.wait_for(self.writable.wait(), self.limits.body_ms / MS_PER_SECOND)
-            except TimeoutError:
-                if self.transport.get_write_buffer_size() >= before:
-                    self.reset("the caller does not read")
+        if self.output.is_blocked:
+            await self.output.wait_writable(self.limits.body_ms, self.reset_unread)
+
+    def reset_unread(self) -> None:
+        """Reset the connection of a caller that does not read."""
+        self.server.budgets.closed[ClosingReason.UNREAD] += 1
+        self.reset("the caller does not read")
 
     def finish(self, exchange: Exchange) -> None:
         """Continue after a response: with the next response, the next request, or by closing."""
@@ -417,6 +517,7 @@
         if self.exchanges:
             self.exchanges[0].allow_response()
         self.read_next()
+        self.update_place()
         if self.server.draining:
             self.drain()
 
@@ -425,17 +526,17 @@
         if self.rejection and not self.exchanges:
             self.reject(self.rejection)
             return
-        self.pending_bytes = 0
-        if not self.deferred:
-            self.transport.resume_reading()
-        if not self.may_read_next():
-            return
+        if self.may_read_next():
+            self.continue_reading()
+        self.update_reading()
+
+    def continue_reading(self) -> None:
+        """Read the next request, after those ahead of it; wait for one if none is buffered."""
         if self.incoming.head is not None:
-            self.timer.set(self.limits.body_ms, self.reject_slow_body)
-            self.ask_for_body()
+            self.begin_body()
             self.advance()
         elif self.incoming.parser.trailing_data[0]:
-            self.advance()
+            self.defer()
         elif not self.exchanges and not self.closing:
             self.timer.set(self.limits.idle_ms, self.close)
 
@@ -456,22 +557,35 @@
         self.rejection = error
         if self.exchanges:
             return
-        events.write(Event.HTTP_REFUSED, status=error.status, code=error.code, reason=error.text)
+        events.write(
+            Event.HTTP_REFUSED,
+            status=error.status,
+            code=error.code,
+            reason=error.text,
+            address=self.address,
+        )
         exchange = self.incoming
         response = error_response(error)
         if exchange.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self.transport.write(exchange.encode_head(response, close=True) + exchange.encode_end())
+            self.output.write(exchange.encode_head(response, close=True) + exchange.encode_end())
         self.closing = True
+        exchange.drop_body()
+        self.update_place()
         if self.transport.can_write_eof():
             self.transport.write_eof()
         self.timer.set(LINGER_MS, self.transport.abort)
 
     def reject_slow_head(self) -> None:
         """Reject a request whose head does not arrive in time."""
+        self.server.budgets.closed[ClosingReason.STALLED] += 1
         self.reject(bad_request("slow-head", "the head did not arrive in time", 408))
 
     def reject_slow_body(self) -> None:
         """Reject a request whose body does not arrive in time."""
+        if self.deferred:
+            self.set_body_timer()
+            return
+        self.server.budgets.closed[ClosingReason.STALLED] += 1
         self.reject(bad_request("slow-body", "the body did not arrive in time", 408))
 
     def reject_unread(self) -> None:
@@ -488,6 +602,7 @@
     def close(self) -> None:
         """Close after the buffered output is sent, or after a timeout if the caller reads none."""
         self.closing = True
+        self.update_place()
         self.timer.set(self.limits.body_ms, self.transport.abort)
         self.transport.close()
 
--- a/cactusvane/settings.py
+++ b/cactusvane/settings.py
@@ -1,9 +1,9 @@
 """Settings of one daemon, with all their defaults."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Annotated, ClassVar
 
-from annotated_types import Ge, MinLen
+from annotated_types import Ge, Gt, Le, MinLen
 
 from cactusvane.configuration.model import STRICT
 from cactusvane.errors import SettingsError
@@ -30,9 +30,20 @@
     head_ms
         Time within which a caller must send a complete head, in milliseconds.
     body_ms
-        Time within which a caller must send a complete body, in milliseconds.
+        Time within which a caller must send a complete body, and read a part of what waits to be
+        sent to it, in milliseconds.
     idle_ms
         Time after which a caller's idle connection is closed, in milliseconds.
+    stall_ms
+        Time without a byte after which a caller's unfinished body is rejected, in milliseconds.
+    side_connections
+        Maximum number of concurrent connections at each address that is not for callers.
+    pipelined
+        Maximum number of requests that run concurrently behind an earlier one of the same
+        connection, over all connections; further ones wait for the earlier one's response.
+    address_share
+        Maximum share of the connections, and of the memory for bodies, that one client address may
+        have; 1 for no limit.
     connect_ms
         Timeout for opening a connection to a target, in milliseconds.
     unframed
@@ -48,9 +59,28 @@
     head_ms: Annotated[int, Ge(1)] = 10_000
     body_ms: Annotated[int, Ge(1)] = 30_000
     idle_ms: Annotated[int, Ge(1)] = 60_000
+    stall_ms: Annotated[int, Ge(1)] = 10_000
+    side_connections: Annotated[int, Ge(1)] = 256
+    pipelined: Annotated[int, Ge(0)] = 256
+    address_share: Annotated[float, Gt(0), Le(1)] = 1.0
     connect_ms: Annotated[int, Ge(1)] = 1_000
     unframed: bool = False
 
+    def adopt(self, configured: "HttpLimits") -> "HttpLimits":
+        """Return the limits of a configuration with this VM's own limits on its resources."""
+        return replace(
+            configured,
+            connections=self.connections,
+            stall_ms=self.stall_ms,
+            side_connections=self.side_connections,
+            pipelined=self.pipelined,
+            address_share=self.address_share,
+        )
+
+    def for_side(self) -> "HttpLimits":
+        """Return the limits at an address that is not for callers."""
+        return replace(self, connections=min(self.connections, self.side_connections))
+
 
 @dataclass(frozen=True, slots=True)
 class Settings:
