--- a/cactusvane/http/server.py
+++ b/cactusvane/http/server.py
@@ -4,6 +4,7 @@
 import socket
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from math import inf
 
 from cactusvane.clock import MS_PER_SECOND, Clock
 from cactusvane.fleet.vm import Address
@@ -20,7 +21,7 @@
 BACKLOG = 512
 """Maximum number of connections that the kernel holds until they are accepted."""
 
-ACCEPTS_PER_TURN = 64
+ACCEPTS_PER_TURN = 32
 """Maximum number of connections accepted in one turn of the event loop. Those that give way to them
 are closed only in the next turn, so that this many descriptors may be open in addition."""
 
@@ -158,30 +159,37 @@
         """
         self.connections.add(connection)
         self.by_address[connection.address] += 1
-        reason = None
-        if self.by_address[connection.address] > self.max_connections_of_address:
-            reason = ClosingReason.ADDRESS_FULL
-        elif len(self.places) >= self.limits.connections and not self.displace_one():
-            reason = ClosingReason.BUSY
+        reason = self.find_place(connection.address)
         activity = Activity.IDLE if reason is None else Activity.CLOSING
         self.places.put(connection, activity, self.clock.now())
         return reason
 
+    def find_place(self, address: str) -> ClosingReason | None:
+        """Make a place for a new connection; return the reason if it may have none.
+
+        A connection that is closing gives way also to one that is rejected, so that rejected ones
+        do not add up.
+        """
+        now = self.clock.now()
+        is_full = len(self.places) >= self.limits.connections
+        address_full = self.by_address[address] > self.max_connections_of_address
+        if address_full:
+            found = self.places.longest_silent(Activity.CLOSING, now, 0.0)
+        else:
+            found = self.places.find_displaceable(now)
+        if is_full and found is not None:
+            found.displace("there is no place for a new connection")
+        if address_full:
+            return ClosingReason.ADDRESS_FULL
+        return ClosingReason.BUSY if is_full and found is None else None
+
     @property
-    def max_connections_of_address(self) -> int:
+    def max_connections_of_address(self) -> float:
         """Maximum number of connections of one client address."""
         limits = self.limits
         if limits.address_share == 1.0:
-            return limits.connections + 1
-        return max(1, int(limits.address_share * limits.connections))
-
-    def displace_one(self) -> bool:
-        """Close the connection that gives way to a new one; return whether there is one."""
-        found = self.places.find_displaceable(self.clock.now())
-        if found is None:
-            return False
-        found.displace("there is no place for a new connection")
-        return True
+            return inf
+        return max(1.0, limits.address_share * limits.connections)
 
     def displace_upload(self) -> bool:
         """Close the connection whose body gives way to another; return whether there is one."""
