--- a/cactusvane/http/server_connection.py
+++ b/cactusvane/http/server_connection.py
@@ -232,6 +232,8 @@
             self.advance()
             self.update_place()
             self.set_body_timer()
+            if len(self.exchanges) > 1:
+                self.update_reading()
             return
         self.pending_bytes += len(data)
         if self.pending_bytes > self.limits.head_bytes:
@@ -280,7 +282,7 @@
         """Read on, unless as much is buffered as may be while earlier requests run."""
         if self.deferred:
             return
-        if self.discards_input or self.may_read_next():
+        if self.discards_input or not self.exchanges:
             self.pending_bytes = 0
         else:
             self.pending_bytes = len(self.incoming.parser.trailing_data[0])
