--- a/cactusvane/exposition.py
+++ b/cactusvane/exposition.py
@@ -9,7 +9,7 @@
 from prometheus_client.exposition import generate_latest
 from prometheus_client.registry import Collector, CollectorRegistry
 
-from cactusvane.http.memory import Budgets
+from cactusvane.http.memory import Budgets, ClosingReason
 from cactusvane.metrics import US_PER_MS, Recorder
 
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
@@ -89,7 +89,12 @@
     for purpose, budget in (("responses", budgets.responses), ("uploads", budgets.uploads)):
         held.add_metric((purpose,), budget.held)
         short.add_metric((purpose,), budget.times_short)
-    return [held, short]
+    closed = CounterMetricFamily(
+        "cactusvane_connections_closed", "Connections closed by this VM", labels=("reason",)
+    )
+    for reason in ClosingReason:
+        closed.add_metric((reason.value,), budgets.closed[reason])
+    return [held, short, closed]
 
 
 def target_counts(recorder: Recorder) -> GaugeMetricFamily:
