A request that was passed to the handler has no timer and keeps its body

With "connection: close" the last request stayed the one being read: its timer for the body was set again, and its body was released when the caller left. Tests of stalls, of who gives way, of the memory for bodies and of requests ahead.

--- a/cactusvane/http/exchange.py
+++ b/cactusvane/http/exchange.py
@@ -92,14 +92,20 @@
         return f"{head.method.decode('ascii')} {head.target[:MAX_LOGGED_TARGET].decode('ascii')}"
 
     def drop_body(self) -> None:
-        """Release the body of a request that will not run.
+        """Release the body of a request that will not run; the handler keeps what it was passed.
 
         The connection may be part of a reference cycle, so that the body would be kept until the
         next garbage collection.
         """
-        self.body.clear()
+        if not self.was_dispatched:
+            self.body.clear()
         self.upload.release()
 
+    @property
+    def was_dispatched(self) -> bool:
+        """Whether the request was passed to the handler."""
+        return self.task is not None
+
     def allow_response(self) -> None:
         """Allow the response to be written."""
         if not self.may_respond.done():
--- a/cactusvane/http/server_connection.py
+++ b/cactusvane/http/server_connection.py
@@ -294,7 +294,9 @@
     def set_body_timer(self) -> None:
         """Reject the body that is being received if it stalls or takes too long."""
         head = self.incoming.head
-        if head is None or self.discards_input or not self.may_run(head):
+        if head is None or self.incoming.was_dispatched:
+            return
+        if self.discards_input or not self.may_run(head):
             return
         left_ms = self.body_due_at - self.server.clock.now()
         self.timer.set(max(0.0, min(self.limits.stall_ms, left_ms)), self.reject_slow_body)
