--- a/cactusvane/placement/messages.py
+++ b/cactusvane/placement/messages.py
@@ -53,6 +53,11 @@
     customer_priority: int = 0
     features: RequestFeatures | None = None
 
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Priority of the customer, then of the route; the lowest rank is served first."""
+        return self.customer_priority, self.priority
+
 
 @dataclass(frozen=True, slots=True)
 class WorkInputs:
@@ -80,11 +85,6 @@
     source: str
     remaining_ms: float
 
-    @property
-    def rank(self) -> tuple[int, int]:
-        """Priority of the customer, then of the route; the lowest rank is served first."""
-        return self.customer_priority, self.priority
-
 
 @dataclass(frozen=True, slots=True)
 class PlacementInputs:
