Count calls to the store by the role of the entry at the time of the call

Cause: the test failed once at load 16. A stall of 0.55 s in the event loop, injected in a trial, made other entries readers for a moment by the election of readers, and each made one call in that role.

--- a/tests/adapter/current.py
+++ b/tests/adapter/current.py
@@ -1,7 +1,7 @@
 """Entries that need a lease: a decoder of customers, and a gate in front of each entry."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from random import Random
 
@@ -47,6 +47,8 @@
         Whether confirmations succeed.
     misses_changes
         Whether reads of changes return none, as after a compaction.
+    should_read
+        Returns whether the entry is the reader; the calls of others are counted separately.
     """
 
     def __init__(self, address: Address) -> None:
@@ -55,6 +57,8 @@
         self.confirms = True
         self.misses_changes = False
         self.confirmations = 0
+        self.standby_confirmations = 0
+        self.should_read: Callable[[], bool] = lambda: True
 
     def check(self) -> None:
         if self.refused:
@@ -72,6 +76,7 @@
 
     async def confirm(self, table: str, rows: TableRows) -> bool:
         self.confirmations += 1
+        self.standby_confirmations += not self.should_read()
         self.check()
         if not self.confirms:
             raise PlatformUnavailableError("the store confirms nothing to this entry")
@@ -126,6 +131,7 @@
     def prepare(self, process: FleetProcess) -> None:
         name = process.settings.vm
         self.stores[name] = CountingStore(self.store_address)
+        self.stores[name].should_read = process.should_read
         process.platform = replace(
             process.platform, source=self.stores[name], decoder=CustomerDecoder()
         )
