--- a/cactusvane/quota/quotas.py
+++ b/cactusvane/quota/quotas.py
@@ -41,6 +41,9 @@
 NEW_NUMBER = 50
 """Number of a first update up to which its process counts as new, and all its counts as recent."""
 
+NEW_FLEET_MS = 10_000.0
+"""All counts are recent for this long after a first start of the whole fleet."""
+
 REPORTER_CHANGE_MS = 250.0
 """A group is reported on by another entry after this time without a report of the previous one.
 
@@ -137,6 +140,7 @@
         self.settings = settings
         self.random = random
         self.started_at = now
+        self.new_fleet_until = now + NEW_FLEET_MS if starts_full else -inf
         self.starts_full = starts_full
         self.levels_known = starts_full
         self.configured = False
@@ -314,6 +318,7 @@
         self.groups.clear()
         self.levels_known = False
         self.started_at = now
+        self.new_fleet_until = -inf
 
     def settle(self, state: CustomerState, customer: str | None, now: float) -> None:
         """Refill a bucket, and apply a change of the contact with the other entries."""
@@ -392,6 +397,7 @@
         is_baseline = False
         if source is None or source.started != update.started:
             is_new = source is not None or update.number <= NEW_NUMBER
+            is_new = is_new or now < self.new_fleet_until
             is_baseline = not is_new
             source = UsageSource(update.sender, update.started, is_new, now, now)
             self.peers[update.sender] = source
@@ -438,14 +444,16 @@
             return
         if source is not None and is_same and report.number <= source.number:
             return
+        is_first = source is None and now < self.new_fleet_until
         if source is not None and now - source.seen_at > self.settings.max_assumed_ms:
             source = None
         self.contacts.reported(group, now)
         self.refresh(now)
         withheld = group in self.reach.silent
-        is_baseline = source is None or not is_same
+        is_baseline = not is_first and (source is None or not is_same)
         if source is None or not is_same:
             source = self.change_reporter(source, report, withheld, now)
+            source.is_new = is_first
             self.groups[group] = source
         source.number = report.number
         for change in source.apply(report.usage, is_baseline, now):
--- a/tests/quota/test_quotas.py
+++ b/tests/quota/test_quotas.py
@@ -139,6 +139,7 @@
 def test_the_first_report_of_another_reporter_is_only_a_baseline() -> None:
     """Guards against counting the sums of two reporters of one group."""
     quotas = make_quotas(domains=("z0", "z1"))
+    quotas.new_fleet_until = 0.0
     quotas.receive_report(usage_report(1_000, 1), 0.0)
     quotas.receive_report(usage_report(1_005, 2), 100.0)
     assert level(quotas, 100.0) == pytest.approx(15.0)
@@ -159,3 +160,11 @@
     quotas.receive_update(usage_update(3), 0.0)
     quotas.admit("a", 0.0)
     assert quotas.take_group_usage(0.0) == {"a": CustomerUsage(4, 4)}
+
+
+def test_first_reports_count_after_a_first_start_of_the_fleet() -> None:
+    """Guards against requests that are taken for old ones when all entries have just started."""
+    quotas = make_quotas(domains=("z0", "z1"))
+    quotas.receive_report(DomainReport("r1", "z1", 0, 1, 1), 0.0)
+    quotas.receive_report(usage_report(15, 2), 100.0)
+    assert level(quotas, 100.0) == pytest.approx(5.0)
