--- a/cactusvane/quota/quotas.py
+++ b/cactusvane/quota/quotas.py
@@ -26,7 +26,8 @@
     Rejected,
     RejectionReason,
 )
-from cactusvane.quota.reach import FULL_REACH, GroupKey, Reach
+from cactusvane.quota.group_sources import REPORTER_CHANGE_MS, GroupSources
+from cactusvane.quota.reach import FULL_REACH, Reach
 from cactusvane.quota.settings import QuotaSettings
 from cactusvane.quota.usage import UsageChange, UsageSource
 
@@ -44,12 +45,6 @@
 NEW_FLEET_MS = 10_000.0
 """All counts are recent for this long after a first start of the whole fleet."""
 
-REPORTER_CHANGE_MS = 250.0
-"""A group is reported on by another entry after this time without a report of the previous one.
-
-Longer than two reports, and shorter than the time after which the group counts as silent.
-"""
-
 RELAY_MEMORY_MS = 2_000.0
 """How long an entry still sends levels after it was the relay, for a relay that returns."""
 
@@ -156,7 +151,7 @@
         self.reports = 0
         self.reported_at = -inf
         self.peers: dict[str, UsageSource] = {}
-        self.groups: dict[GroupKey, UsageSource] = {}
+        self.groups = GroupSources(settings)
         self.is_relay: Callable[[], bool] = lambda: False
         self.relay_at = -inf
         self.isolated_at = now
@@ -315,7 +310,7 @@
             self.settle(state, name, now)
             state.bucket.withheld = 0.0
         self.peers.clear()
-        self.groups.clear()
+        self.groups.sources.clear()
         self.levels_known = False
         self.started_at = now
         self.new_fleet_until = -inf
@@ -339,7 +334,8 @@
             return rest * rate_per_s, 0.0
         settled_at = state.bucket.settled_at
         silent, missed = 0.0, 0.0
-        sources = [self.groups[group] for group in self.reach.silent if group in self.groups]
+        groups = self.groups.sources
+        sources = [groups[group] for group in self.reach.silent if group in groups]
         if self.reach.isolated:
             sources += self.peers.values()
         for source in sources:
@@ -362,7 +358,7 @@
         total += sum(peer.rate_per_s(customer) for peer in self.peers.values())
         return total + sum(
             source.rate_per_s(customer)
-            for group, source in self.groups.items()
+            for group, source in self.groups.sources.items()
             if group not in silent
         )
 
@@ -433,52 +429,14 @@
 
     def receive_report(self, report: DomainReport, now: float) -> None:
         """Apply the usage of another group."""
-        group = (report.failure_domain, report.group)
-        source = self.groups.get(group)
-        is_same = (
-            source is not None
-            and source.sender == report.sender
-            and source.started == report.started
-        )
-        if source is not None and not is_same and now - source.seen_at < REPORTER_CHANGE_MS:
-            return
-        if source is not None and is_same and report.number <= source.number:
+        if not self.groups.accepts(report, now):
             return
-        is_first = source is None and now < self.new_fleet_until
-        if source is not None and now - source.seen_at > self.settings.max_assumed_ms:
-            source = None
+        group = (report.failure_domain, report.group)
         self.contacts.reported(group, now)
         self.refresh(now)
         withheld = group in self.reach.silent
-        is_baseline = not is_first and (source is None or not is_same)
-        if source is None or not is_same:
-            source = self.change_reporter(source, report, withheld, now)
-            source.is_new = is_first
-            self.groups[group] = source
-        source.number = report.number
-        for change in source.apply(report.usage, is_baseline, now):
-            self.apply(change, withheld, now)
-
-    def change_reporter(
-        self, before: UsageSource | None, report: DomainReport, withheld: bool, now: float
-    ) -> UsageSource:
-        """Return the source for another reporter of a group.
-
-        Its counts are only comparable with its own; the usage since the last report of the
-        previous one is assumed.
-        """
-        source = UsageSource(report.sender, report.started, False, now, now)
-        if before is None:
-            return source
-        until = min(now, before.seen_at + self.settings.max_assumed_ms)
-        for change in before.assume(until):
+        for change in self.groups.apply(report, now < self.new_fleet_until, now):
             self.apply(change, withheld, now)
-        for customer, usage in report.usage.items():
-            known = before.known.get(customer)
-            if known is not None:
-                known.usage, known.assumed = usage, 0.0
-                source.known[customer] = known
-        return source
 
     def take_usage(self, full: bool, now: float) -> dict[str, CustomerUsage] | None:
         """Return this entry's counts for its next update; None if there are none to send."""
--- a/tests/adapter/test_quotas.py
+++ b/tests/adapter/test_quotas.py
@@ -44,7 +44,7 @@
 
 def is_in_contact(process: FleetProcess) -> bool:
     quotas = process.quota_gate.quotas
-    return quotas is not None and len(quotas.groups) == 1 and quotas.reach.share == 1.0
+    return quotas is not None and len(quotas.groups.sources) == 1 and quotas.reach.share == 1.0
 
 
 def test_all_processes_learn_of_the_requests_that_one_admitted() -> None:
--- a/tests/quota/test_quotas.py
+++ b/tests/quota/test_quotas.py
@@ -7,11 +7,11 @@
 from cactusvane.configuration.model import Customer
 from cactusvane.placement.messages import CustomerUsage, DomainReport, StateUpdate
 from cactusvane.quota.decisions import Admitted, Rejected, RejectionReason
+from cactusvane.quota.group_sources import REPORTER_CHANGE_MS
 from cactusvane.quota.quotas import (
     MAX_RETRY_AFTER_MS,
     MIN_RETRY_AFTER_MS,
     REPEAT_INTERVAL_MS,
-    REPORTER_CHANGE_MS,
     FleetQuotas,
 )
 from cactusvane.quota.settings import QuotaSettings
