--- a/cactusvane/http/places.py
+++ b/cactusvane/http/places.py
@@ -73,10 +73,14 @@
     def put(self, connection: Connection, activity: Activity, now: float) -> None:
         """Record what a connection does since `now`, or that it received a byte then."""
         before = self.activities.get(connection)
-        if before is not None:
-            del self.groups[before][connection]
-        self.activities[connection] = activity
-        self.groups[activity][connection] = now
+        group = self.groups[activity]
+        if before is activity:
+            group.move_to_end(connection)
+        else:
+            if before is not None:
+                del self.groups[before][connection]
+            self.activities[connection] = activity
+        group[connection] = now
 
     def remove(self, connection: Connection) -> None:
         """Remove a connection."""
--- a/cactusvane/http/server_connection.py
+++ b/cactusvane/http/server_connection.py
@@ -12,6 +12,7 @@
 from cactusvane.errors import BrokenResponseError, RequestError
 from cactusvane.events import Event
 from cactusvane.http.check import bad_request, body_too_large, check_head, check_lines
+from cactusvane.http.connection_log import log_displaced, log_unanswered
 from cactusvane.http.exchange import PIPELINED_METHODS, Caller, Exchange
 from cactusvane.http.memory import SMALL_BYTES, ClosingReason
 from cactusvane.http.message import BodyStream, Response, find_header
@@ -128,28 +129,13 @@
         """Stop the timer and notify the handlers that the caller is gone."""
         self.closing = self.was_lost = True
         if not self.was_reset:
-            self.log_unanswered("the caller closed it")
+            log_unanswered(self.server, self.address, self.exchanges, "the caller closed it")
         self.timer.stop()
         self.output.close()
         self.incoming.drop_body()
         self.server.remove(self)
         self.notify_gone()
 
-    def log_unanswered(self, reason: str) -> None:
-        """Log the requests that the handler has and whose responses the caller does not get."""
-        if not self.exchanges:
-            return
-        requests = [exchange.summary for exchange in self.exchanges]
-        events.write(
-            Event.HTTP_UNANSWERED,
-            count=len(requests),
-            reason=reason,
-            address=self.address,
-            requests=requests,
-            leaving=self.server.leaving,
-            draining=self.server.draining,
-        )
-
     def notify_gone(self) -> None:
         """Notify the handlers of all requests that the caller is gone."""
         self.caller_gone = True
@@ -197,16 +183,7 @@
         """Close the connection for the sake of another one; an unfinished request is rejected."""
         server = self.server
         server.budgets.closed[ClosingReason.DISPLACED] += 1
-        events.write(
-            Event.HTTP_CLIENT_CLOSED,
-            address=self.address,
-            reason=reason,
-            activity=self.activity.name.lower(),
-            silent_ms=round(server.places.silent_ms(self, server.clock.now())),
-            held_bytes=self.incoming.upload.size,
-            of_address=server.by_address[self.address],
-            connections=len(server.places),
-        )
+        log_displaced(self, reason)
         if self.activity is Activity.RECEIVING:
             self.reject(
                 RequestError(503, "busy", reason, Verdict.NOT_RUN, DISPLACED_RETRY_AFTER_MS)
@@ -231,8 +208,9 @@
         if self.may_read_next():
             self.advance()
             self.update_place()
-            self.set_body_timer()
-            if len(self.exchanges) > 1:
+            if not self.exchanges:
+                self.set_body_timer()
+            elif len(self.exchanges) > 1:
                 self.update_reading()
             return
         self.pending_bytes += len(data)
@@ -364,8 +342,9 @@
 
     def begin_body(self) -> None:
         """Receive the body of a request that may run."""
-        self.body_due_at = self.server.clock.now() + self.limits.body_ms
-        self.set_body_timer()
+        limits = self.limits
+        self.body_due_at = self.server.clock.now() + limits.body_ms
+        self.timer.set(min(limits.stall_ms, limits.body_ms), self.reject_slow_body)
         self.ask_for_body()
 
     def ask_for_body(self) -> None:
@@ -532,7 +511,11 @@
             return
         if self.may_read_next():
             self.continue_reading()
-        self.update_reading()
+        if self.exchanges:
+            self.update_reading()
+        elif not self.deferred:
+            self.pending_bytes = 0
+            self.transport.resume_reading()
 
     def continue_reading(self) -> None:
         """Read the next request, after those ahead of it; wait for one if none is buffered."""
@@ -613,7 +596,7 @@
     def reset(self, reason: str) -> None:
         """Reset the connection, so that a truncated response is not taken for a complete one."""
         if not self.was_reset:
-            self.log_unanswered(reason)
+            log_unanswered(self.server, self.address, self.exchanges, reason)
         self.was_reset = self.closing = True
         sock = self.transport.get_extra_info("socket")
         if sock is not None and not self.transport.is_closing():
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -9,6 +9,7 @@
 
 from cactusvane.errors import SettingsError
 from cactusvane.fleet.vm import Address
+from cactusvane.settings import HttpLimits
 
 FILE: dict[str, Any] = {
     "node-id": "front-gobabis-1",
@@ -106,3 +107,35 @@
     monkeypatch.setenv(SETTINGS_VARIABLE, "/nowhere")
     with pytest.raises(SettingsError, match="nowhere"):
         read_settings()
+
+
+@pytest.mark.parametrize(
+    ("limits", "connections", "side_connections"),
+    [
+        ({}, 2_000, 256),
+        ({"max-fds": 100_000}, 2_000, 256),
+        ({"max-fds": 1_024}, 618, 41),
+        ({"max-fds": 400}, 150, 16),
+        ({"max-fds": 50}, 16, 16),
+    ],
+)
+def test_connections_leave_descriptors_for_everything_else(
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    limits: dict[str, int],
+    connections: int,
+    side_connections: int,
+) -> None:
+    """Guards against more connections than the VM has descriptors."""
+    http = read(tmp_path, monkeypatch, FILE | {"limits": limits}).settings.http
+    assert (http.connections, http.side_connections) == (connections, side_connections)
+    assert HttpLimits(connections=5, side_connections=9).for_side().connections == 5
+
+
+def test_a_configuration_does_not_change_the_limits_of_the_vm() -> None:
+    """Guards against limits on connections that are lost with the first configuration."""
+    own = HttpLimits(connections=150, side_connections=16, stall_ms=5_000, pipelined=9)
+    adopted = own.adopt(HttpLimits(body_bytes=7, head_ms=3_000, idle_ms=15_000))
+    assert (adopted.connections, adopted.side_connections) == (150, 16)
+    assert (adopted.stall_ms, adopted.pipelined) == (5_000, 9)
+    assert (adopted.body_bytes, adopted.head_ms, adopted.idle_ms) == (7, 3_000, 15_000)
