--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -18,6 +18,7 @@
 from cactusvane.metrics import TargetCounts
 from cactusvane.placement.groups import Group, count_groups, hash_name
 from cactusvane.placement.messages import Observation, StateUpdate, StoreStatus
+from cactusvane.placement.mixed import mixed_services
 from cactusvane.placement.outbox import Outbox
 from cactusvane.placement.peer import PEER_TIMEOUT_MS, Peer
 from cactusvane.placement.placement import Placement
@@ -94,6 +95,7 @@
     def configure(self, configuration: Configuration, now: float) -> None:
         """Create a placement for each service; the state of services that stay is kept."""
         previous = self.placements
+        mixed = mixed_services(configuration)
         self.placements = {}
         for service in configuration.services:
             placement = previous.get(service.name)
@@ -107,6 +109,7 @@
                     self.vm,
                 )
                 placement.idle_ms = self.idle_ms
+            placement.set_mixed(service.name in mixed)
             self.placements[service.name] = placement
         self.retries = {
             name: self.retries.get(name)
@@ -140,7 +143,7 @@
             placement = self.placement_by_target.get(name)
             if placement is not None:
                 placement.targets[name].peer_load += sign * count
-                if self.settings.expected_work:
+                if placement.work is not None:
                     set_peer_work(placement.targets[name], update, count if sign > 0 else 0)
 
     def record_use(self, update: StateUpdate, last: StateUpdate | None, now: float) -> None:
@@ -368,7 +371,7 @@
 
     def own_work(self, now: float) -> dict[str, int] | None:
         """Return the remaining work of this entry's requests in flight, by target, in ms."""
-        if not self.settings.expected_work:
+        if all(placement.work is None for placement in self.placements.values()):
             return None
         return {
             name: round(target.own_remaining_ms(now))
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -115,6 +115,20 @@
         self.idle_limit = IdleLimit()
         self.idle_ms: Callable[[Address], float | None] = lambda target: None
 
+    def set_mixed(self, mixed: bool) -> None:
+        """Apply whether the service's routes differ much; what was learned is kept while they do.
+
+        Parameters
+        ----------
+        mixed
+            Whether requests of the service are likely to cost very different amounts of work.
+        """
+        settings = self.settings
+        if not settings.expected_work and not (settings.expected_work_where_mixed and mixed):
+            self.work = None
+        elif self.work is None:
+            self.work = WorkEstimates(settings)
+
     def set_targets(self, vms: Collection[Vm], now: float) -> None:
         """Apply a new list; the state of targets that stay is kept."""
         self.cooldown_carry = floor.cooldown_carry(vms, self.failure_domain, self.settings)
--- a/cactusvane/placement/settings.py
+++ b/cactusvane/placement/settings.py
@@ -51,6 +51,8 @@
     expected_work
         Whether a request is placed by its own expected work and the remaining work of the targets,
         instead of by the mean latencies of all requests.
+    expected_work_where_mixed
+        The same at services only whose routes differ much in their latency objectives.
     cold_factor
         Slowness of a target during warm-up.
     wait_share
@@ -104,6 +106,7 @@
     connect_cost_share: float = 0.8
     affinity_cost_share: float = 0.0
     expected_work: bool = False
+    expected_work_where_mixed: bool = False
     cold_factor: float = 2.0
     wait_share: float = 0.125
     reserve_share: float = 0.5
