--- a/tests/bench/test_load.py
+++ b/tests/bench/test_load.py
@@ -91,7 +91,7 @@
 
 @pytest.mark.parametrize("name", ["burst", "overload 1.2", "overload 2", "short and long"])
 def test_expected_work_does_not_lose_where_requests_are_alike(name: str) -> None:
-    """Waits without the present congestion lost 0.04 of the worth in each overload."""
+    """Waits without the present congestion lost 0.042 to 0.047 of the worth in burst and overload."""
     (pattern,) = [pattern for pattern in PATTERNS if pattern.name == name]
     work, before = (
         worth_share([run_pattern(pattern, seed, make) for seed in WORK_SEEDS])
