Max-min fair shares of customers while a service is short of capacity

Entries report the expected work in flight by service and customer. A request that takes its customer beyond the fair share waits, then gets over-share.

--- a/cactusvane/placement/admission.py
+++ b/cactusvane/placement/admission.py
@@ -8,6 +8,7 @@
 from cactusvane.http.target_notice import TargetNotice
 from cactusvane.outcome import Outcome
 from cactusvane.placement.domain import Domain
+from cactusvane.placement.fair_share import StartedWork
 from cactusvane.placement.messages import Observation, Place, Reject, RequestProfile, Wait
 from cactusvane.placement.placement import FAILURE_OUTCOMES, Placement
 from cactusvane.request.admission import Ticket
@@ -16,12 +17,13 @@
 class SharedTicket(Ticket):
     """A request, with the future that it waits on and the timer that marks it as overdue."""
 
-    __slots__ = ("overdue", "waiter")
+    __slots__ = ("overdue", "waiter", "work")
 
     def __init__(self, profile: RequestProfile, tried: frozenset[Address]) -> None:
         super().__init__(profile, tried)
         self.waiter: asyncio.Future[None] | None = None
         self.overdue: asyncio.TimerHandle | None = None
+        self.work: StartedWork | None = None
 
 
 class SharedAdmission:
@@ -88,6 +90,7 @@
         ticket.place = place
         profile = ticket.profile
         self.placement.record_start(place.name, self.clock.now())
+        ticket.work = self.placement.start_work(profile)
         overdue_ms = self.placement.overdue_ms(profile.kind, profile.latency_ms)
         loop = asyncio.get_running_loop()
         ticket.overdue = loop.call_later(
@@ -118,8 +121,15 @@
 
     def wake(self) -> None:
         """Wake waiting requests so that they are placed again, the most urgent first."""
+        profiles = {ticket.profile for ticket in self.waiting}
+        over_share = self.placement.over_share(profiles, self.clock.now())
         order = sorted(
-            self.waiting, key=lambda ticket: (ticket.profile.rank, ticket.profile.deadline)
+            self.waiting,
+            key=lambda ticket: (
+                ticket.profile.rank,
+                ticket.profile in over_share,
+                ticket.profile.deadline,
+            ),
         )
         for ticket in order:
             if ticket.waiter is not None and not ticket.waiter.done():
@@ -138,6 +148,9 @@
             ticket.place.name, ticket.profile.kind, outcome, round(latency_ms)
         )
         ticket.place = None
+        if ticket.work is not None:
+            ticket.work.end()
+            ticket.work = None
         ticket.tried |= {address}
         self.placement.record_end(observation, self.clock.now())
         self.domain.observe(observation)
--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -16,6 +16,7 @@
 from cactusvane.http.rate_limit import NoRateLimit
 from cactusvane.http.target_notice import TargetNotice
 from cactusvane.metrics import TargetCounts
+from cactusvane.placement.fair_share import FairSharing
 from cactusvane.placement.groups import Group, count_groups, hash_name
 from cactusvane.placement.messages import Observation, StateUpdate, StoreStatus
 from cactusvane.placement.outbox import Outbox
@@ -89,6 +90,7 @@
         self.peers: dict[str, Peer] = {}
         self.outbox = Outbox()
         self.quotas: FleetQuotas | None = None
+        self.fair_sharing = FairSharing(self.customer_work_age_ms)
 
     def configure(self, configuration: Configuration, now: float) -> None:
         """Create a placement for each service; the state of services that stay is kept."""
@@ -106,6 +108,9 @@
                 )
                 placement.idle_ms = self.idle_ms
             self.placements[service.name] = placement
+        self.fair_sharing.configure(configuration)
+        for name, placement in self.placements.items():
+            placement.shares = self.fair_sharing.services.get(name)
         self.retries = {
             name: self.retries.get(name)
             or SharedRetries(self.limit, now, self.live_share, self.outbox.record_retry)
@@ -127,12 +132,26 @@
         for placement in self.placements.values():
             for target in placement.targets.values():
                 target.peer_load = 0
+        self.fair_sharing.forget_peers()
         for peer in self.peers.values():
             if peer.last_update is not None:
                 self.add_peer_load(peer.last_update, 1)
 
+    def customer_work_age_ms(self, now: float) -> float | None:
+        """Return the age of the oldest update with work of customers; None if there is none."""
+        return max(
+            (
+                now - peer.last_seen_at
+                for peer in self.peers.values()
+                if peer.last_update is not None and peer.last_update.customer_work
+            ),
+            default=None,
+        )
+
     def add_peer_load(self, update: StateUpdate, sign: int) -> None:
         """Add an entry's requests in flight, or subtract them (`sign` -1)."""
+        if update.customer_work:
+            self.fair_sharing.add_peer(update.customer_work, sign)
         for name, count in update.in_flight.items():
             placement = self.placement_by_target.get(name)
             if placement is not None:
@@ -256,7 +275,7 @@
                 continue
             if peer.last_update is not None:
                 self.add_peer_load(peer.last_update, -1)
-                peer.last_update = replace(peer.last_update, in_flight={})
+                peer.last_update = replace(peer.last_update, in_flight={}, customer_work=None)
             if now - peer.last_seen_at > PEER_EXPIRY_MS and vm in group:
                 del self.peers[vm]
 
@@ -358,4 +377,5 @@
             self.notices.reports(status is not None, now),
             usage=None if quotas is None else quotas.take_usage(status is not None, now),
             levels=None if quotas is None else quotas.take_levels(status is not None, now),
+            customer_work=self.fair_sharing.to_send(),
         )
--- a/cactusvane/placement/messages.py
+++ b/cactusvane/placement/messages.py
@@ -116,12 +116,43 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class ShareInputs:
+    """The data on which a request was rejected for its customer's share, for the log.
+
+    The field names are keys of a log line.
+
+    Parameters
+    ----------
+    work_ms
+        Expected work of the customer's requests in flight, over the entries of the group.
+    share_ms
+        Its fair share of the capacity at that time; None if it was not limited.
+    customers
+        Customers of the same priority with work in flight, including this one.
+    slots
+        Slots of the service's usable targets in the failure domain.
+    load
+        Requests in flight at the service's targets, as far as this entry knows.
+    age_ms
+        Age of the oldest of the other entries' updates that count; None if there is none.
+    """
+
+    work_ms: int
+    share_ms: int | None
+    customers: int
+    slots: int
+    load: int
+    age_ms: int | None
+
+
 @dataclass(frozen=True, slots=True)
 class Reject:
     """Decision to reject: no capacity in time; the caller may retry after `retry_after_ms`."""
 
     reason: str
     retry_after_ms: float
+    share: ShareInputs | None = None
 
 
 Decision = Place | Wait | Reject
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -11,6 +11,7 @@
 """
 
 from collections.abc import Callable, Collection
+from dataclasses import replace
 from random import Random
 
 from cactusvane.fleet.vm import Address, Vm
@@ -18,6 +19,7 @@
 from cactusvane.outcome import Outcome
 from cactusvane.placement import floor
 from cactusvane.placement.evidence import RecentOutcomes
+from cactusvane.placement.fair_share import Capacity, ServiceShares, StartedWork, measure_capacity
 from cactusvane.placement.idle import IdleLimit
 from cactusvane.placement.latency import LatencyEstimates
 from cactusvane.placement.messages import (
@@ -77,6 +79,8 @@
         Recent outcomes of the service's requests, including rejections.
     latency_outcomes
         Whether recent responses came within their latency objective.
+    shares
+        Work of customers in flight, and their fair shares; None if the configuration has none.
     """
 
     def __init__(
@@ -100,6 +104,7 @@
         self.outcomes = RecentOutcomes()
         self.latency_outcomes = RecentOutcomes()
         self.idle_limit = IdleLimit()
+        self.shares: ServiceShares | None = None
         self.idle_ms: Callable[[Address], float | None] = lambda target: None
 
     def set_targets(self, vms: Collection[Vm], now: float) -> None:
@@ -174,6 +179,8 @@
         )
         if self.is_too_late(profile, inputs, expected_ms, now):
             return Reject("too-late", self.retry_after_ms(inputs.wait_ms))
+        if self.is_held_back(profile, inputs.wait_ms, expected_ms, now):
+            return self.wait_or_reject_share(profile, inputs.wait_ms, expected_ms, now)
         if inputs.wait_ms > self.max_wait_ms(profile):
             return self.wait_or_reject(profile, "no-room", inputs.wait_ms, now)
         return Place(best.vm.name, best.vm.address, inputs, reason)
@@ -217,6 +224,62 @@
             return Wait(until)
         return Reject(reason, self.retry_after_ms(wait_ms))
 
+    def start_work(self, profile: RequestProfile) -> StartedWork | None:
+        """Count the expected work of a request that is sent; None if there are no customers."""
+        if self.shares is None:
+            return None
+        expected_ms = self.latencies.expected_ms(profile.kind, profile.latency_ms)
+        return self.shares.start(profile.customer, expected_ms)
+
+    def over_share(self, profiles: Collection[RequestProfile], now: float) -> set[RequestProfile]:
+        """Return those requests that take their customers beyond their fair shares."""
+        if self.shares is None or not profiles:
+            return set()
+        capacity = self.capacity(now)
+        return {
+            profile
+            for profile in profiles
+            if self.shares.is_beyond(
+                profile, self.latencies.expected_ms(profile.kind, profile.latency_ms), capacity
+            )
+        }
+
+    def is_over_share(self, profile: RequestProfile, expected_ms: float, now: float) -> bool:
+        """Return whether a request takes its customer beyond its fair share of the capacity."""
+        if self.shares is None:
+            return False
+        return self.shares.is_beyond(profile, expected_ms, self.capacity(now))
+
+    def is_held_back(
+        self, profile: RequestProfile, wait_ms: float, expected_ms: float, now: float
+    ) -> bool:
+        """Return whether a request leaves a queue of this length to the other customers."""
+        if self.shares is None or wait_ms <= self.max_share_wait_ms(profile, expected_ms):
+            return False
+        return self.is_over_share(profile, expected_ms, now)
+
+    def max_share_wait_ms(self, profile: RequestProfile, expected_ms: float) -> float:
+        """Return the maximum wait in a queue that a customer beyond its share may add to."""
+        return self.settings.over_share_wait * max(0.0, profile.latency_ms - expected_ms)
+
+    def wait_or_reject_share(
+        self, profile: RequestProfile, wait_ms: float, expected_ms: float, now: float
+    ) -> Wait | Reject:
+        """Return the decision about a request that is held back for its customer's share."""
+        decision = self.wait_or_reject(profile, "over-share", wait_ms, now)
+        if isinstance(decision, Reject) and self.shares is not None:
+            inputs = self.shares.inputs(profile, expected_ms, self.capacity(now), now)
+            return replace(decision, share=inputs)
+        return decision
+
+    def capacity(self, now: float) -> Capacity:
+        """Return the capacity of the service, as the customers share it."""
+        return measure_capacity(
+            self.targets.values(),
+            self.failure_domain,
+            lambda target: self.accepts_requests(target, now),
+        )
+
     def wait_for_turn(
         self, profile: RequestProfile, limited: list[Target], now: float
     ) -> Wait | Reject:
--- a/cactusvane/placement/relaying.py
+++ b/cactusvane/placement/relaying.py
@@ -496,6 +496,7 @@
     )
     reports = ITEMS_PER_REPORT * len(update.crash_reports)
     customers = count_customer_items(update.usage) + count_customer_items(update.levels)
+    customers += sum(map(count_customer_items, (update.customer_work or {}).values()))
     return 2 + reports + customers + sum(len(part) for part in parts if part)
 
 
--- a/cactusvane/placement/settings.py
+++ b/cactusvane/placement/settings.py
@@ -73,6 +73,9 @@
     max_late_share
         Share of late responses at which a queued request must come within its objective; if the
         share is higher, earlier still.
+    over_share_wait
+        Maximum wait in a queue that requests beyond the fair share of their customer may add to, as
+        a share of the time that their latency objective leaves.
     min_retry_after_ms, max_retry_after_ms
         Bounds of the time after which callers with a rejected request may retry.
     """
@@ -109,6 +112,7 @@
     min_latency_share: float = 0.5
     lateness_share: float = 0.25
     max_late_share: float = 0.2
+    over_share_wait: float = 0.0
     min_retry_after_ms: float = 100.0
     max_retry_after_ms: float = 1_000.0
 
