--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -21,7 +21,7 @@
 from cactusvane.http.target_notice import read_notice
 from cactusvane.metrics import KindRecord
 from cactusvane.outcome import Outcome
-from cactusvane.placement.messages import RequestProfile
+from cactusvane.placement.messages import RequestProfile, ShareInputs
 from cactusvane.report.objective import meets_objective, objective_of
 from cactusvane.request.admission import Ticket
 from cactusvane.request.attempt_log import AttemptLog
@@ -167,6 +167,7 @@
         self.waiting: asyncio.Timeout | None = None
         self.sending: asyncio.Timeout | None = None
         self.was_cut_off = False
+        self.share: ShareInputs | None = None
 
     async def run(self) -> Response:
         """Send the request, with retries, and return the response for the caller.
@@ -373,6 +374,7 @@
         self.withdraw()
         if rejection is None:
             return NoTarget()
+        self.share = rejection.share
         return NoTarget(rejection.reason, rejection.retry_after_ms)
 
     def withdraw(self) -> None:
--- a/cactusvane/dispatch_log.py
+++ b/cactusvane/dispatch_log.py
@@ -32,6 +32,7 @@
         attempts=len(dispatch.tried),
         last=dispatch.last_attempt,
         configuration=dispatch.entry.version,
+        **({} if dispatch.share is None else {"share": dispatch.share}),
     )
 
 
