--- a/bench/load.py
+++ b/bench/load.py
@@ -9,16 +9,20 @@
 from __future__ import annotations
 
 import json
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import count
 from random import Random
 
 from bench.load_model import (
     DOMAINS,
     NETWORK_DELAY_MS,
+    NO_CUSTOMER,
     PATTERNS,
     Call,
+    CustomerLoad,
     Kind,
     Mode,
     Pattern,
@@ -26,7 +30,7 @@
     Target,
     make_targets,
 )
-from cactusvane.configuration.model import Configuration, Service
+from cactusvane.configuration.model import Configuration, Customer, Service
 from cactusvane.fleet.vm import Address
 from cactusvane.outcome import Outcome
 from cactusvane.placement.domain import Domain
@@ -50,6 +54,7 @@
 from cactusvane.request.budget import RetryBudget, RetryLimiter, RetrySettings
 from cactusvane.verdict import Verdict
 
+SERVICE = Service("s", (), (), 1, 1, 1)
 SLOTS = 4
 ENTRIES = 16
 """Number of entries in each failure domain."""
@@ -72,6 +77,19 @@
 }
 
 
+@dataclass(slots=True)
+class CustomerTally:
+    """Numbers of one customer's requests, and of those that were served."""
+
+    requests: int = 0
+    served: int = 0
+
+    @property
+    def served_share(self) -> float:
+        """Share of the requests that were served."""
+        return self.served / self.requests
+
+
 @dataclass(slots=True)
 class Tally:
     """Totals of what callers requested and received, in numbers and in worth (`Kind.worth`)."""
@@ -81,9 +99,13 @@
     worth: float = 0.0
     requests: int = 0
     rejected: int = 0
+    by_customer: dict[str, CustomerTally] = field(default_factory=dict)
 
-    def add(self, kind: Kind, took_ms: float | None) -> None:
+    def add(self, kind: Kind, took_ms: float | None, customer: str = "") -> None:
         """Count a request served after `took_ms` milliseconds, or not served if it is None."""
+        by_customer = self.by_customer.setdefault(customer, CustomerTally())
+        by_customer.requests += 1
+        by_customer.served += took_ms is not None
         self.requests += 1
         self.offered += kind.worth
         if took_ms is None:
@@ -101,7 +123,7 @@
         self.name = name
         self.domain = Domain(name, domain, 1, Random(name), limit=LIMIT)
         self.domain.set_targets({"s": tuple(target.vm for target in fleet.targets)}, 0.0)
-        self.domain.configure(Configuration((Service("s", (), (), 1, 1, 1),)), 0.0)
+        self.domain.configure(fleet.configuration, 0.0)
         self.placement = self.domain.placements["s"]
         self.address = Address("10.0.1.1", len(fleet.entries))
         self.update_scheduled = False
@@ -147,6 +169,14 @@
                 entry.domain.receive(update, self.address, now)
 
 
+class UnfairEntry(SharedEntry):
+    """An entry that knows the customers and their priorities, and does not share fairly."""
+
+    def __init__(self, fleet: Fleet, name: str, domain: str) -> None:
+        super().__init__(fleet, name, domain)
+        self.placement.shares = None
+
+
 class BlindEntry(SharedEntry):
     """An entry that chooses a random target of its failure domain and shares no state."""
 
@@ -184,7 +214,15 @@
 class SimulatedRequest:
     """One request of a caller, with its attempts."""
 
-    def __init__(self, fleet: Fleet, entry: SharedEntry, kind: Kind, work_ms: float) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        entry: SharedEntry,
+        kind: Kind,
+        work_ms: float,
+        customer: CustomerLoad = NO_CUSTOMER,
+    ) -> None:
+        self.customer = customer
         self.fleet = fleet
         self.simulator = fleet.simulator
         self.entry = entry
@@ -204,6 +242,8 @@
             self.arrived,
             self.attempts.deadline,
             route.latency_ms,
+            customer.name,
+            customer.priority,
         )
         self.tried: frozenset[Address] = frozenset()
 
@@ -216,7 +256,7 @@
         if isinstance(command, SendAttempt):
             self.choose(command)
         else:
-            self.fleet.tally.add(self.kind, None)
+            self.fleet.tally.add(self.kind, None, self.customer.name)
 
     def choose(self, command: SendAttempt) -> None:
         """Choose a target, or wait for a free slot."""
@@ -233,11 +273,14 @@
     def send(self, command: SendAttempt, name: str, address: Address) -> None:
         """Send the request to a target, with a timeout."""
         self.tried |= {address}
+        work = self.entry.placement.start_work(self.profile)
         self.entry.record_start(name)
         sent = self.simulator.now
 
         def end_attempt(outcome: Outcome) -> None:
             call.cancelled = True
+            if work is not None:
+                work.end()
             latency = self.simulator.now - sent
             self.entry.record_end(Observation(name, self.kind.route.kind, outcome, latency))
             self.handle_outcome(outcome)
@@ -256,7 +299,7 @@
         """Handle the outcome of an attempt."""
         now = self.simulator.now
         if outcome is Outcome.SERVED:
-            self.fleet.tally.add(self.kind, now - self.arrived)
+            self.fleet.tally.add(self.kind, now - self.arrived, self.customer.name)
             return
         failed = outcome is Outcome.FAILED
         result: AttemptResult = (
@@ -274,6 +317,7 @@
     simulator: Simulator
     random: Random
     targets: list[Target]
+    configuration: Configuration = Configuration((SERVICE,))
     entries: list[SharedEntry] = field(default_factory=list)
     by_name: dict[str, Target] = field(default_factory=dict)
     tally: Tally = field(default_factory=Tally)
@@ -282,8 +326,15 @@
 MakeEntry = Callable[[Fleet, str, str], SharedEntry]
 
 
-def arrivals(pattern: Pattern, random: Random) -> list[tuple[float, Kind, float]]:
-    """Return the requests of a run: arrival time in milliseconds, kind, work in milliseconds."""
+def configure(pattern: Pattern) -> Configuration:
+    """Return the configuration of a pattern."""
+    customers = tuple(Customer(each.name, (), priority=each.priority) for each in pattern.customers)
+    return Configuration((SERVICE,), customers=customers)
+
+
+def arrivals(pattern: Pattern, random: Random) -> list[tuple[float, Kind, float, CustomerLoad]]:
+    """Return the requests of a run: arrival and work in milliseconds, kind, customer."""
+    loads = [each.load for each in pattern.customers]
     shares = [kind.share for kind in pattern.kinds]
     mean = sum(kind.work_ms * kind.share for kind in pattern.kinds) / sum(shares)
     found = []
@@ -292,7 +343,9 @@
         rate = pattern.load(now) * pattern.targets * SLOTS / mean
         now += random.expovariate(rate)
         (kind,) = random.choices(pattern.kinds, shares)
-        found.append((now, kind, kind.work_ms * random.lognormvariate(-0.18, 0.6)))
+        work_ms = kind.work_ms * random.lognormvariate(-0.18, 0.6)
+        customer = random.choices(pattern.customers, loads)[0] if loads else NO_CUSTOMER
+        found.append((now, kind, work_ms, customer))
     return found
 
 
@@ -301,18 +354,19 @@
     simulator = Simulator()
     random = Random(seed)
     work = arrivals(pattern, random)
-    fleet = Fleet(simulator, random, make_targets(simulator, pattern, random, SLOTS))
+    targets = make_targets(simulator, pattern, random, SLOTS)
+    fleet = Fleet(simulator, random, targets, configure(pattern))
     fleet.by_name = {target.vm.name: target for target in fleet.targets}
     for domain in DOMAINS:
         for number in range(ENTRIES):
             entry = make(fleet, f"{domain}{number}", domain)
             fleet.entries.append(entry)
 
-    def arrive(kind: Kind, work_ms: float) -> None:
-        SimulatedRequest(fleet, random.choice(fleet.entries), kind, work_ms).start()
+    def arrive(kind: Kind, work_ms: float, customer: CustomerLoad) -> None:
+        SimulatedRequest(fleet, random.choice(fleet.entries), kind, work_ms, customer).start()
 
-    for at, kind, work_ms in work:
-        simulator.after(at, lambda kind=kind, work_ms=work_ms: arrive(kind, work_ms))  # type: ignore[misc]
+    for at, kind, work_ms, customer in work:
+        simulator.after(at, partial(arrive, kind, work_ms, customer))
     simulator.run()
     return fleet.tally
 
@@ -362,12 +416,59 @@
         waiting.append((route.priority, simulator.now, next(order), kind, work_ms, deadline))
         serve()
 
-    for at, kind, work_ms in arrivals(pattern, random):
+    for at, kind, work_ms, _ in arrivals(pattern, random):
         simulator.after(at, lambda kind=kind, work_ms=work_ms: arrive(kind, work_ms))  # type: ignore[misc]
     simulator.run()
     return tally
 
 
+def run_fair_queue(pattern: Pattern, seed: int) -> Tally:
+    """Simulate a pattern with one queue for all slots of healthy targets, shared fairly.
+
+    The queue knows the work of each request. A free slot goes to the customer of the highest
+    priority, then to the one with the least work in flight.
+    """
+    simulator = Simulator()
+    random = Random(seed)
+    tally = Tally()
+    waiting: list[tuple[float, int, Kind, float, CustomerLoad]] = []
+    in_flight_ms: defaultdict[str, float] = defaultdict(float)
+    free = pattern.targets * SLOTS
+    order = count()
+
+    def serve() -> None:
+        nonlocal free
+        while waiting and free:
+            best = min(
+                waiting,
+                key=lambda each: (each[4].priority, in_flight_ms[each[4].name], each[0], each[1]),
+            )
+            waiting.remove(best)
+            arrived, _, kind, work_ms, customer = best
+            if simulator.now + work_ms > arrived + kind.route.latency_ms:
+                tally.add(kind, None, customer.name)
+                continue
+            free -= 1
+            in_flight_ms[customer.name] += work_ms
+            simulator.after(work_ms, partial(end, arrived, kind, work_ms, customer))
+
+    def end(arrived: float, kind: Kind, work_ms: float, customer: CustomerLoad) -> None:
+        nonlocal free
+        free += 1
+        in_flight_ms[customer.name] -= work_ms
+        tally.add(kind, simulator.now - arrived, customer.name)
+        serve()
+
+    def arrive(kind: Kind, work_ms: float, customer: CustomerLoad) -> None:
+        waiting.append((simulator.now, next(order), kind, work_ms, customer))
+        serve()
+
+    for at, kind, work_ms, customer in arrivals(pattern, random):
+        simulator.after(at, partial(arrive, kind, work_ms, customer))
+    simulator.run()
+    return tally
+
+
 SEEDS = (1, 2)
 
 
--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -96,6 +96,28 @@
 """Returns the mode of a target by its number, at a time in milliseconds."""
 
 
+@dataclass(frozen=True, slots=True)
+class CustomerLoad:
+    """Load of one customer.
+
+    Parameters
+    ----------
+    name
+        Name of the customer.
+    load
+        Its offered load as a share of the capacity of all slots.
+    priority
+        Its priority; 0 is the highest.
+    """
+
+    name: str
+    load: float
+    priority: int = 0
+
+
+NO_CUSTOMER = CustomerLoad("", 1.0)
+
+
 @dataclass(frozen=True, slots=True)
 class Pattern:
     """One load pattern.
@@ -112,6 +134,8 @@
         Offered load as a share of the capacity of all slots, at a time in milliseconds.
     modes
         Modes of the targets.
+    customers
+        Customers, whose loads are in proportion to `CustomerLoad.load`; empty for none.
     """
 
     name: str
@@ -119,6 +143,7 @@
     targets: int
     load: Callable[[float], float]
     modes: Modes
+    customers: tuple[CustomerLoad, ...] = ()
 
 
 @dataclass(slots=True)
@@ -275,3 +300,55 @@
     Pattern("tight reads gray", (TIGHT,), 9, surge(0.45, 0.8, 6e3, 16e3), ROTATING_GRAY),
     Pattern("reads gray", (URGENT,), 6, steady(0.45), rotating(Mode(0.75), 4_000, 3)),
 )
+
+CUSTOMERS = 79
+SHARE_EXPONENT = -1.2
+"""The customers' shares of the usual load fall as this power of their rank."""
+
+
+def ranked_customers(load: float, hot: int, factor: float) -> tuple[CustomerLoad, ...]:
+    """Return customers with a usual load, the largest ones of which send a multiple of theirs.
+
+    Parameters
+    ----------
+    load
+        Usual load of all customers as a share of the capacity of all slots.
+    hot
+        Number of the largest customers that send more.
+    factor
+        Multiple of their usual load that these send.
+    """
+    weights = [rank**SHARE_EXPONENT for rank in range(1, CUSTOMERS + 1)]
+    loads = [load * weight / sum(weights) for weight in weights]
+    loads[:hot] = [factor * each for each in loads[:hot]]
+    return tuple(CustomerLoad(f"c{number}", each) for number, each in enumerate(loads, 1))
+
+
+def with_customers(
+    name: str, customers: tuple[CustomerLoad, ...], kinds: tuple[Kind, ...] = (BOOKING,)
+) -> Pattern:
+    """Return a pattern in which the customers send their loads all the time."""
+    load = sum(each.load for each in customers)
+    return Pattern(name, kinds, 16, steady(load), healthy, customers)
+
+
+SMALL = tuple(CustomerLoad(f"s{number}", 0.005) for number in range(60))
+LARGE = (CustomerLoad("l1", 0.6), CustomerLoad("l2", 0.6))
+BY_PRIORITY = (
+    CustomerLoad("p0", 0.3, priority=0),
+    CustomerLoad("p0 hot", 0.4, priority=0),
+    CustomerLoad("p1", 0.1, priority=1),
+    CustomerLoad("p1 hot", 0.4, priority=1),
+    CustomerLoad("p2", 0.2, priority=2),
+)
+
+CUSTOMER_PATTERNS = (
+    with_customers("hot in quota", ranked_customers(0.95, hot=1, factor=1.6)),
+    with_customers("one hot", ranked_customers(0.6, hot=1, factor=7.5)),
+    with_customers("three hot", ranked_customers(0.5, hot=3, factor=4.0)),
+    with_customers("many small", (*SMALL, *LARGE)),
+    with_customers("mixed work", ranked_customers(0.6, hot=2, factor=3.0), (URGENT, PATIENT)),
+    with_customers("priorities", BY_PRIORITY),
+    with_customers("no shortage", ranked_customers(0.5, hot=1, factor=2.0)),
+)
+"""Patterns with customers; those of the hot ones last for the whole run."""
