--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -334,6 +334,7 @@
 
 SMALL = tuple(CustomerLoad(f"s{number}", 0.005) for number in range(60))
 LARGE = (CustomerLoad("l1", 0.6), CustomerLoad("l2", 0.6))
+FLOODED = (CustomerLoad("flood", 2.0), *(CustomerLoad(f"s{each}", 0.03) for each in range(30)))
 BY_PRIORITY = (
     CustomerLoad("p0", 0.3, priority=0),
     CustomerLoad("p0 hot", 0.4, priority=0),
@@ -347,6 +348,7 @@
     with_customers("one hot", ranked_customers(0.6, hot=1, factor=7.5)),
     with_customers("three hot", ranked_customers(0.5, hot=3, factor=4.0)),
     with_customers("many small", (*SMALL, *LARGE)),
+    with_customers("flooded", FLOODED),
     with_customers("mixed work", ranked_customers(0.6, hot=2, factor=3.0), (URGENT, PATIENT)),
     with_customers("priorities", BY_PRIORITY),
     with_customers("no shortage", ranked_customers(0.5, hot=1, factor=2.0)),
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -244,22 +244,21 @@
             )
         }
 
-    def is_over_share(self, profile: RequestProfile, expected_ms: float, now: float) -> bool:
-        """Return whether a request takes its customer beyond its fair share of the capacity."""
-        if self.shares is None:
-            return False
-        return self.shares.is_beyond(profile, expected_ms, self.capacity(now))
-
     def is_held_back(
         self, profile: RequestProfile, wait_ms: float, expected_ms: float, now: float
     ) -> bool:
         """Return whether a request leaves a queue of this length to the other customers."""
         if self.shares is None or wait_ms <= self.max_share_wait_ms(profile, expected_ms):
             return False
-        return self.is_over_share(profile, expected_ms, now)
+        return self.shares.is_beyond(profile, expected_ms, self.capacity(now))
 
     def max_share_wait_ms(self, profile: RequestProfile, expected_ms: float) -> float:
-        """Return the maximum wait in a queue that a customer beyond its share may add to."""
+        """Return the maximum wait in a queue that a customer beyond its share may add to.
+
+        It is 0 for a request that is not of the most urgent ones.
+        """
+        if self.urgency.most_urgent(profile).rank < profile.rank:
+            return 0.0
         return self.settings.over_share_wait * max(0.0, profile.latency_ms - expected_ms)
 
     def wait_or_reject_share(
