--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -255,11 +255,15 @@
     def max_share_wait_ms(self, profile: RequestProfile, expected_ms: float) -> float:
         """Return the maximum wait in a queue that a customer beyond its share may add to.
 
-        It is 0 for a request that is not of the most urgent ones.
+        It is 0 while a customer of a higher priority sends requests. For the most urgent requests
+        it goes beyond what less urgent ones may use, as the route's priority goes before the share.
         """
-        if self.urgency.most_urgent(profile).rank < profile.rank:
+        if self.urgency.most_urgent(profile).customer_priority < profile.customer_priority:
             return 0.0
-        return self.settings.over_share_wait * max(0.0, profile.latency_ms - expected_ms)
+        share = self.settings.over_share_wait
+        if self.urgency.has_less_urgent(profile):
+            share += self.settings.reserve_share
+        return share * max(0.0, profile.latency_ms - expected_ms)
 
     def wait_or_reject_share(
         self, profile: RequestProfile, wait_ms: float, expected_ms: float, now: float
--- a/cactusvane/placement/settings.py
+++ b/cactusvane/placement/settings.py
@@ -112,7 +112,7 @@
     min_latency_share: float = 0.5
     lateness_share: float = 0.25
     max_late_share: float = 0.2
-    over_share_wait: float = 0.25
+    over_share_wait: float = 0.35
     min_retry_after_ms: float = 100.0
     max_retry_after_ms: float = 1_000.0
 
--- a/cactusvane/placement/urgency.py
+++ b/cactusvane/placement/urgency.py
@@ -32,3 +32,11 @@
             each for each in self.latest.values() if not each.customer or each.arrived > oldest
         )
         return min(recent, key=lambda each: each.rank, default=profile)
+
+    def has_less_urgent(self, profile: RequestProfile) -> bool:
+        """Return whether there are recent requests that are less urgent by their route."""
+        oldest = profile.arrived - CUSTOMER_MEMORY_MS
+        return any(
+            each.priority > profile.priority and each.arrived > oldest
+            for each in self.latest.values()
+        )
