--- a/cactusvane/placement/admission.py
+++ b/cactusvane/placement/admission.py
@@ -8,6 +8,7 @@
 from cactusvane.http.target_notice import TargetNotice
 from cactusvane.outcome import Outcome
 from cactusvane.placement.domain import Domain
+from cactusvane.placement.fair_share import StartedWork
 from cactusvane.placement.messages import Observation, Place, Reject, RequestProfile, Wait
 from cactusvane.placement.placement import FAILURE_OUTCOMES, Placement
 from cactusvane.placement.work import RunningWork
@@ -17,16 +18,18 @@
 class SharedTicket(Ticket):
     """A request, with the future that it waits on and the timer that marks it as overdue.
 
-    `running` is its attempt in flight, if the work of requests is estimated.
+    `running` is its attempt in flight, if the work of requests is estimated, and `work` its part of
+    the customer's work, if customers share capacity.
     """
 
-    __slots__ = ("overdue", "running", "waiter")
+    __slots__ = ("overdue", "running", "waiter", "work")
 
     def __init__(self, profile: RequestProfile, tried: frozenset[Address]) -> None:
         super().__init__(profile, tried)
         self.waiter: asyncio.Future[None] | None = None
         self.overdue: asyncio.TimerHandle | None = None
         self.running: RunningWork | None = None
+        self.work: StartedWork | None = None
 
 
 class SharedAdmission:
@@ -95,6 +98,7 @@
         now = self.clock.now()
         ticket.running = self.placement.record_start(place.name, now, profile, place.inputs.wait_ms)
         overdue_ms = self.placement.overdue_ms(profile.kind, profile.latency_ms, ticket.running)
+        ticket.work = self.placement.start_work(profile)
         loop = asyncio.get_running_loop()
         ticket.overdue = loop.call_later(
             overdue_ms / MS_PER_SECOND, self.record_overdue, ticket, overdue_ms
@@ -124,8 +128,15 @@
 
     def wake(self) -> None:
         """Wake waiting requests so that they are placed again, the most urgent first."""
+        profiles = {ticket.profile for ticket in self.waiting}
+        over_share = self.placement.over_share(profiles, self.clock.now())
         order = sorted(
-            self.waiting, key=lambda ticket: (ticket.profile.rank, ticket.profile.deadline)
+            self.waiting,
+            key=lambda ticket: (
+                ticket.profile.rank,
+                ticket.profile in over_share,
+                ticket.profile.deadline,
+            ),
         )
         for ticket in order:
             if ticket.waiter is not None and not ticket.waiter.done():
@@ -144,6 +155,9 @@
             ticket.place.name, ticket.profile.kind, outcome, round(latency_ms)
         )
         ticket.place = None
+        if ticket.work is not None:
+            ticket.work.end()
+            ticket.work = None
         ticket.tried |= {address}
         observation = self.placement.record_end(observation, self.clock.now(), ticket.running)
         self.domain.observe(observation)
