Send requests to failure domains with free slots

Groups report their free slots by service. A request whose own failure domain has no free slot goes where there are some, with a probability that spreads them over the requests of the whole group until the next report. Off by default.

--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -255,6 +255,9 @@
             self.random,
         )
         self.update_sender.relaying.reports = reports
+        if self.domain.rooms is not None:
+            reports.fills.append(self.domain.rooms.fill)
+            reports.listeners.append(self.domain.rooms.receive)
         return reports
 
     def relay(self) -> str:
--- a/cactusvane/placement/domain.py
+++ b/cactusvane/placement/domain.py
@@ -23,6 +23,7 @@
 from cactusvane.placement.placement import Placement
 from cactusvane.placement.rate_limits import RateLimits
 from cactusvane.placement.retries import RetryLimit, SharedRetries
+from cactusvane.placement.room import RoomReports, ServiceRooms
 from cactusvane.placement.settings import PlacementSettings
 from cactusvane.placement.target_notices import TargetNotices
 from cactusvane.quota.quotas import FleetQuotas
@@ -58,6 +59,8 @@
         Returns how long a connection to a target has been idle; None if there is none.
     quotas
         Quotas of customers; None if the configuration has none.
+    rooms
+        Free capacity that groups report to each other; None unless it is shared.
     """
 
     def __init__(
@@ -89,6 +92,13 @@
         self.peers: dict[str, Peer] = {}
         self.outbox = Outbox()
         self.quotas: FleetQuotas | None = None
+        self.rooms = self.make_room_reports() if self.settings.share_room else None
+
+    def make_room_reports(self) -> RoomReports:
+        """Return the reports of the capacity of other groups."""
+        return RoomReports(
+            self.failure_domain, lambda: self.placements, lambda: count_groups(len(self.peers) + 1)
+        )
 
     def configure(self, configuration: Configuration, now: float) -> None:
         """Create a placement for each service; the state of services that stay is kept."""
@@ -105,6 +115,8 @@
                     self.notices,
                 )
                 placement.idle_ms = self.idle_ms
+                if self.rooms is not None:
+                    placement.rooms = ServiceRooms(service.name, self.rooms, placement)
             self.placements[service.name] = placement
         self.retries = {
             name: self.retries.get(name)
--- a/cactusvane/placement/messages.py
+++ b/cactusvane/placement/messages.py
@@ -91,6 +91,30 @@
     failed_ago_ms: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class RoomInputs:
+    """What was known of the failure domain that a request is sent to for its free slots.
+
+    The field names are keys of a log line.
+
+    Parameters
+    ----------
+    failure_domain
+        The failure domain.
+    free_slots
+        Its free slots, less the requests that other failure domains have there.
+    age_ms
+        Time since the report on it was received.
+    probability
+        Probability with which it was chosen.
+    """
+
+    failure_domain: str
+    free_slots: int
+    age_ms: float
+    probability: float
+
+
 class PlacementReason(Enum):
     """Why a request is sent to a target."""
 
@@ -98,6 +122,9 @@
     UNUSED = "unused"
     """No entry of the failure domain sent the target a request for some time."""
 
+    ROOM = "room"
+    """The own failure domain has no free slot, and that of the target has some."""
+
 
 @dataclass(frozen=True, slots=True)
 class Place:
@@ -107,6 +134,7 @@
     address: Address
     inputs: PlacementInputs
     reason: PlacementReason = PlacementReason.CHEAPEST
+    room: RoomInputs | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -238,10 +266,13 @@
         Slots of its targets that no request occupies.
     wait_ms
         Mean expected wait at these targets.
+    away
+        Requests in flight of the group at targets of other failure domains, by failure domain.
     """
 
     free_slots: int
     wait_ms: float
+    away: dict[str, int] = {}
 
 
 class DomainReport(msgspec.Struct, frozen=True, array_like=True, tag="d"):
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -11,6 +11,7 @@
 """
 
 from collections.abc import Callable, Collection
+from dataclasses import replace
 from random import Random
 
 from cactusvane.fleet.vm import Address, Vm
@@ -31,6 +32,7 @@
     Wait,
 )
 from cactusvane.placement.rate_limits import RateLimits
+from cactusvane.placement.room import ServiceRooms
 from cactusvane.placement.settings import PlacementSettings
 from cactusvane.placement.target import Target
 from cactusvane.placement.target_notices import TargetNotices
@@ -77,6 +79,8 @@
         Recent outcomes of the service's requests, including rejections.
     latency_outcomes
         Whether recent responses came within their latency objective.
+    rooms
+        Free capacity of other failure domains; None if it is not shared.
     """
 
     def __init__(
@@ -101,6 +105,7 @@
         self.latency_outcomes = RecentOutcomes()
         self.idle_limit = IdleLimit()
         self.idle_ms: Callable[[Address], float | None] = lambda target: None
+        self.rooms: ServiceRooms | None = None
 
     def set_targets(self, vms: Collection[Vm], now: float) -> None:
         """Apply a new list; the state of targets that stay is kept."""
@@ -157,7 +162,11 @@
             decision = self.choose(probes, PlacementReason.UNUSED, profile, now)
             if isinstance(decision, Place):
                 return decision
-        return self.choose(usable, PlacementReason.CHEAPEST, profile, now)
+        if self.rooms is None:
+            return self.choose(usable, PlacementReason.CHEAPEST, profile, now)
+        choice = self.rooms.choose(usable, profile, now)
+        decision = self.choose(choice.targets, choice.reason, profile, now)
+        return replace(decision, room=choice.inputs) if isinstance(decision, Place) else decision
 
     def choose(
         self, targets: list[Target], reason: PlacementReason, profile: RequestProfile, now: float
--- a/cactusvane/placement/settings.py
+++ b/cactusvane/placement/settings.py
@@ -75,6 +75,9 @@
         share is higher, earlier still.
     min_retry_after_ms, max_retry_after_ms
         Bounds of the time after which callers with a rejected request may retry.
+    share_room
+        Whether groups report their free slots to each other, and requests go to another failure
+        domain that has some when their own has none.
     """
 
     good_failure_share: float = 0.02
@@ -111,6 +114,7 @@
     max_late_share: float = 0.2
     min_retry_after_ms: float = 100.0
     max_retry_after_ms: float = 1_000.0
+    share_room: bool = False
 
     @property
     def prior_bad(self) -> float:
