--- a/bench/load.py
+++ b/bench/load.py
@@ -30,7 +30,9 @@
 from cactusvane.fleet.vm import Address
 from cactusvane.outcome import Outcome
 from cactusvane.placement.domain import Domain
+from cactusvane.placement.group_reports import REPORT_INTERVAL_MS
 from cactusvane.placement.messages import (
+    DomainReport,
     Observation,
     Place,
     Reject,
@@ -39,6 +41,7 @@
     Wait,
 )
 from cactusvane.placement.retries import RetryLimit
+from cactusvane.placement.settings import PlacementSettings
 from cactusvane.request.attempts import (
     AttemptFailed,
     AttemptResult,
@@ -61,6 +64,15 @@
 LATE_WORTH_SHARE = 0.3
 """Share of its worth that a request has if it is served after its latency objective."""
 
+REPORT_DELAY_MS = 60.0
+REPORT_LOSS_SHARE = 0.1
+"""Time until a report of another failure domain arrives, and the share of those that do not."""
+
+CUT_OFF_DOMAIN = DOMAINS[0]
+CUT_OFF_FROM_MS = 4_000.0
+CUT_OFF_UNTIL_MS = 18_000.0
+"""Which failure domain exchanges no reports with the others in `CutOffEntry`, and when."""
+
 STORE_STATUS = StoreStatus(True, 0.0, None, {})
 RETRIES = RetrySettings(0.18, 1.2, paced_sheds=0, free_connects=4)
 LIMIT = RetryLimit(share=0.18, extra=57.6, window_ms=10_000.0, domains=len(DOMAINS))
@@ -96,10 +108,12 @@
 class SharedEntry:
     """An entry that places requests by the state that its failure domain shares."""
 
+    settings = PlacementSettings()
+
     def __init__(self, fleet: Fleet, name: str, domain: str) -> None:
         self.fleet = fleet
         self.name = name
-        self.domain = Domain(name, domain, 1, Random(name), limit=LIMIT)
+        self.domain = Domain(name, domain, 1, Random(name), self.settings, limit=LIMIT)
         self.domain.set_targets({"s": tuple(target.vm for target in fleet.targets)}, 0.0)
         self.domain.configure(Configuration((Service("s", (), (), 1, 1, 1),)), 0.0)
         self.placement = self.domain.placements["s"]
@@ -147,6 +161,55 @@
                 entry.domain.receive(update, self.address, now)
 
 
+class RoomEntry(SharedEntry):
+    """An entry whose failure domain exchanges reports on free capacity with the others."""
+
+    settings = PlacementSettings(share_room=True)
+
+    def __init__(self, fleet: Fleet, name: str, domain: str) -> None:
+        super().__init__(fleet, name, domain)
+        self.reports_sent = 0
+        self.losses = Random(f"losses of {name}")
+        if name == f"{domain}0":
+            fleet.simulator.after(0.0, self.send_report)
+
+    def send_report(self) -> None:
+        """Send a report to the entries of each other failure domain, and schedule the next one."""
+        now = self.fleet.simulator.now
+        if now > LENGTH_MS:
+            return
+        self.fleet.simulator.after(REPORT_INTERVAL_MS, self.send_report)
+        assert self.domain.rooms is not None
+        self.reports_sent += 1
+        own = self.domain.failure_domain
+        report = self.domain.rooms.fill(DomainReport(self.name, own, 0, self.reports_sent, 1), now)
+        for domain in DOMAINS:
+            if domain != own and not self.is_lost(domain, now):
+                self.fleet.simulator.after(
+                    REPORT_DELAY_MS, lambda domain=domain: self.deliver(report, domain)  # type: ignore[misc]
+                )
+
+    def is_lost(self, domain: str, now: float) -> bool:
+        """Return whether a report to a failure domain is lost."""
+        return self.losses.random() < REPORT_LOSS_SHARE
+
+    def deliver(self, report: DomainReport, domain: str) -> None:
+        """Pass a report to all entries of a failure domain."""
+        for entry in self.fleet.entries:
+            if entry.domain.failure_domain == domain and entry.domain.rooms is not None:
+                entry.domain.rooms.receive(report, self.fleet.simulator.now)
+
+
+class CutOffEntry(RoomEntry):
+    """The same, but no report from or to one of the failure domains arrives for some time."""
+
+    def is_lost(self, domain: str, now: float) -> bool:
+        """Return whether a report to a failure domain is lost."""
+        is_cut = CUT_OFF_DOMAIN in (domain, self.domain.failure_domain)
+        in_time = CUT_OFF_FROM_MS <= now < CUT_OFF_UNTIL_MS
+        return (is_cut and in_time) or super().is_lost(domain, now)
+
+
 class BlindEntry(SharedEntry):
     """An entry that chooses a random target of its failure domain and shares no state."""
 
@@ -308,8 +371,15 @@
             entry = make(fleet, f"{domain}{number}", domain)
             fleet.entries.append(entry)
 
+    def choose_entry() -> SharedEntry:
+        if pattern.domain_load is None:
+            return random.choice(fleet.entries)
+        (domain,) = random.choices(DOMAINS, pattern.domain_weights(simulator.now))
+        there = [each for each in fleet.entries if each.domain.failure_domain == domain]
+        return random.choice(there)
+
     def arrive(kind: Kind, work_ms: float) -> None:
-        SimulatedRequest(fleet, random.choice(fleet.entries), kind, work_ms).start()
+        SimulatedRequest(fleet, choose_entry(), kind, work_ms).start()
 
     for at, kind, work_ms in work:
         simulator.after(at, lambda kind=kind, work_ms=work_ms: arrive(kind, work_ms))  # type: ignore[misc]
--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import count
+from math import pi, sin
 from random import Random
 
 from cactusvane.configuration.model import Route
@@ -107,11 +108,16 @@
     kinds
         Kinds of requests that callers send.
     targets
-        Number of targets, distributed evenly over the failure domains.
+        Number of targets.
     load
         Offered load as a share of the capacity of all slots, at a time in milliseconds.
     modes
         Modes of the targets.
+    domain_targets
+        Numbers of targets by failure domain; empty if they are distributed evenly.
+    domain_load
+        Load of a failure domain by its index, as a multiple of the usual one, at a time in
+        milliseconds; None if each entry gets an equal share of the requests.
     """
 
     name: str
@@ -119,6 +125,27 @@
     targets: int
     load: Callable[[float], float]
     modes: Modes
+    domain_targets: tuple[int, ...] = ()
+    domain_load: Callable[[int, float], float] | None = None
+
+    def domain_of(self, number: int) -> str:
+        """Return the failure domain of a target."""
+        if not self.domain_targets:
+            return DOMAINS[number % len(DOMAINS)]
+        for domain, count_there in zip(DOMAINS, self.domain_targets, strict=True):
+            if number < count_there:
+                return domain
+            number -= count_there
+        raise ValueError(f"pattern {self.name} has fewer targets")
+
+    def domain_weights(self, now: float) -> list[float]:
+        """Return the loads of the failure domains, relative to each other."""
+        if self.domain_load is None:
+            return [1.0] * len(DOMAINS)
+        return [
+            targets * self.domain_load(index, now)
+            for index, targets in enumerate(self.domain_targets)
+        ]
 
 
 @dataclass(slots=True)
@@ -214,7 +241,7 @@
 
     found = []
     for number in range(pattern.targets):
-        domain = DOMAINS[number % len(DOMAINS)]
+        domain = pattern.domain_of(number)
         address = Address("10.0.0.1", 8_000 + number)
         vm = Vm(f"t{number}", address, domain, service="s", slots=slots)
         found.append(Target(simulator, vm, mode_of(number), random))
@@ -255,6 +282,37 @@
     return modes
 
 
+SWING_PERIOD_MS = 17_000.0
+SWING_SHARE = 0.55
+SWING_TARGETS = (8, 5, 3)
+
+
+def swing(index: int, now: float) -> float:
+    """Return the load of a failure domain, which swings with a phase of its own."""
+    return 1.0 + SWING_SHARE * sin(2.0 * pi * (now / SWING_PERIOD_MS + index / len(DOMAINS)))
+
+
+def swing_total(mean: float) -> Callable[[float], float]:
+    """Return the load of all failure domains together, if each one's mean load is `mean`."""
+    targets = sum(SWING_TARGETS)
+    return lambda now: mean * sum(
+        count_there * swing(index, now) / targets for index, count_there in enumerate(SWING_TARGETS)
+    )
+
+
+def swinging(mean: float, kind: Kind) -> Pattern:
+    """Return a pattern in which the failure domains' loads swing around `mean`."""
+    return Pattern(
+        f"swing {mean:g} {kind.route.kind}",
+        (kind,),
+        sum(SWING_TARGETS),
+        swing_total(mean),
+        healthy,
+        domain_targets=SWING_TARGETS,
+        domain_load=swing,
+    )
+
+
 ROTATING_GRAY = rotating(Mode(0.75), 4_000, 4)
 
 PATTERNS = (
@@ -275,3 +333,6 @@
     Pattern("tight reads gray", (TIGHT,), 9, surge(0.45, 0.8, 6e3, 16e3), ROTATING_GRAY),
     Pattern("reads gray", (URGENT,), 6, steady(0.45), rotating(Mode(0.75), 4_000, 3)),
 )
+
+SWINGS = tuple(swinging(mean, kind) for kind in (BOOKING, TIGHT) for mean in (0.75, 0.8, 0.85))
+"""Patterns for the exchange of free capacity between failure domains."""
