--- a/cactusvane/dispatch.py
+++ b/cactusvane/dispatch.py
@@ -265,6 +265,7 @@
             inputs=place.inputs if place else None,
             why=place.reason if place else None,
             rested_ms=self.idle_ms,
+            room=place.room if place else None,
         )
         log_attempt(self, self.last_attempt, outcome, result)
         return self.last_attempt.target
--- a/cactusvane/exposition.py
+++ b/cactusvane/exposition.py
@@ -11,7 +11,7 @@
 
 from cactusvane.customers.records import CustomerRecords
 from cactusvane.http.memory import Budgets
-from cactusvane.metrics import US_PER_MS, QuotaCounts, Recorder
+from cactusvane.metrics import US_PER_MS, QuotaCounts, Recorder, RoomCounts
 
 QUANTILES = (0.5, 0.9, 0.99, 0.999)
 
@@ -81,7 +81,8 @@
     customers = customer_answers(recorder.customers)
     age = proof_age(recorder)
     quota = [] if recorder.quota is None else quota_families(recorder.quota)
-    gauges = [target_counts(recorder), isolated, *age, *memory]
+    rooms = room_families(recorder.rooms)
+    gauges = [target_counts(recorder), isolated, *age, *rooms, *memory]
     return [*counters, customers, *quota, *gauges, *summaries(recorder)]
 
 
@@ -121,6 +122,25 @@
     return [admitted, rejected, reach]
 
 
+def room_families(rooms: list[RoomCounts]) -> Families:
+    """Return the free capacity of other failure domains; nothing where none is known."""
+    if not rooms:
+        return []
+    labels = ("service", "failure_domain")
+    free = GaugeMetricFamily(
+        "cactusvane_remote_free_slots", "Free slots of other failure domains", labels=labels
+    )
+    age = GaugeMetricFamily(
+        "cactusvane_remote_report_age_ms",
+        "Milliseconds since the report on these slots was received",
+        labels=labels,
+    )
+    for room in rooms:
+        free.add_metric((room.service, room.failure_domain), room.free_slots)
+        age.add_metric((room.service, room.failure_domain), room.age_ms)
+    return [free, age]
+
+
 def memory_families(budgets: Budgets) -> Families:
     """Return what exchanges hold of the memory, by purpose, and how often it was not enough."""
     held = GaugeMetricFamily(
--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -55,6 +55,7 @@
 from cactusvane.placement.group_reports import GroupReports, OwnGroup
 from cactusvane.placement.messages import RelayedUpdate, StoreStatus
 from cactusvane.placement.placer import SharedPlacer
+from cactusvane.placement.room import describe_rooms
 from cactusvane.placement.sender import UpdateSender
 from cactusvane.quota.gate import QuotaGate
 from cactusvane.settings import Settings
@@ -558,6 +559,7 @@
             case "GET", "/metrics":
                 now = self.clock.now()
                 self.recorder.targets = self.domain.count_targets(now)
+                self.recorder.rooms = describe_rooms(self.domain.placements, now)
                 self.recorder.proof_age_ms = (
                     None if self.prover is None else self.prover.proof_age_ms()
                 )
--- a/cactusvane/metrics.py
+++ b/cactusvane/metrics.py
@@ -125,6 +125,28 @@
     reach: float
 
 
+@dataclass(frozen=True, slots=True)
+class RoomCounts:
+    """Free capacity of a service in another failure domain.
+
+    Parameters
+    ----------
+    service
+        Name of the service.
+    failure_domain
+        The other failure domain.
+    free_slots
+        Its free slots, less the requests that other failure domains have there.
+    age_ms
+        Time since the report on it was received, in milliseconds.
+    """
+
+    service: str
+    failure_domain: str
+    free_slots: int
+    age_ms: float
+
+
 class Recorder:
     """All metrics of one daemon, by service and kind of request.
 
@@ -132,6 +154,8 @@
     ----------
     proof_age_ms
         Age of the proof that the configuration is current; None if there is none or none is needed.
+    rooms
+        Free capacity of other failure domains, where it is known.
 
     Examples
     --------
@@ -150,6 +174,7 @@
         self.isolated_requests = 0
         self.proof_age_ms: float | None = None
         self.quota: QuotaCounts | None = None
+        self.rooms: list[RoomCounts] = []
         self.budgets = Budgets()
 
     def kind(self, service: str, kind: str) -> KindRecord:
--- a/cactusvane/placement/room.py
+++ b/cactusvane/placement/room.py
@@ -14,6 +14,7 @@
 from msgspec.structs import replace
 
 from cactusvane.clock import MS_PER_SECOND
+from cactusvane.metrics import RoomCounts
 from cactusvane.placement.group_reports import REPORT_INTERVAL_MS, GroupKey
 from cactusvane.placement.groups import hash_name
 from cactusvane.placement.messages import (
@@ -209,6 +210,20 @@
     return target.load < target.slots and not is_bad(target, now)
 
 
+def describe_rooms(placements: Mapping[str, "Placement"], now: float) -> list[RoomCounts]:
+    """Return the free capacity of other failure domains by service, for the metrics."""
+    found = []
+    for service, placement in placements.items():
+        if placement.rooms is None:
+            continue
+        recent = placement.rooms.reports.recent(now)
+        for domain in sorted({each.report.failure_domain for each in recent}):
+            room = placement.rooms.room(domain, recent, now)
+            if room is not None:
+                found.append(RoomCounts(service, domain, room.free_slots, room.age_ms))
+    return found
+
+
 class ServiceRooms:
     """Where the requests of one service go when there is a shortage.
 
--- a/cactusvane/request/attempt_log.py
+++ b/cactusvane/request/attempt_log.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from cactusvane.placement.messages import PlacementInputs, PlacementReason
+from cactusvane.placement.messages import PlacementInputs, PlacementReason, RoomInputs
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +26,8 @@
     rested_ms
         Time in milliseconds that the connection had been idle; 0 for a new one, None without a
         connection.
+    room
+        What was known of the target's failure domain, if it was chosen for its free slots.
     """
 
     target: str
@@ -35,3 +37,4 @@
     inputs: PlacementInputs | None
     why: PlacementReason | None
     rested_ms: float | None
+    room: RoomInputs | None = None
--- a/tests/placement/test_room.py
+++ b/tests/placement/test_room.py
@@ -2,20 +2,23 @@
 
 from random import Random
 
+import msgspec
 from msgspec.structs import replace as replace_message
 
 from cactusvane.configuration.model import Configuration, Service
+from cactusvane.metrics import RoomCounts
 from cactusvane.outcome import Outcome
 from cactusvane.placement.domain import Domain
 from cactusvane.placement.messages import (
     Decision,
     DomainReport,
+    Message,
     Place,
     PlacementReason,
     ServiceRoom,
 )
 from cactusvane.placement.placement import Placement
-from cactusvane.placement.room import MAX_AGE_MS, MAX_SERVICES, largest
+from cactusvane.placement.room import MAX_AGE_MS, MAX_SERVICES, describe_rooms, largest
 from cactusvane.placement.settings import PlacementSettings
 from tests.placement.fixtures import LOCAL, REMOTE, failed, make_profile, make_target
 
@@ -218,6 +221,20 @@
     assert min(room.free_slots for room in kept.values()) == 500 - MAX_SERVICES
 
 
+def test_metrics_tell_the_free_slots_that_are_known() -> None:
+    """Guards against metrics that count a failure domain without a recent report as free."""
+    domain = make_domain()
+    receive(domain, report(free_slots=6))
+    assert describe_rooms(domain.placements, NOW + 40.0) == [RoomCounts(SERVICE, REMOTE, 6, 40.0)]
+    assert describe_rooms(domain.placements, NOW + MAX_AGE_MS + 1.0) == []
+
+
+def test_a_report_crosses_the_network_unchanged() -> None:
+    """Guards against a receiver that cannot read what was sent to other failure domains."""
+    message = report(free_slots=3, away={"Aranos": 2})
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(message), type=Message) == message
+
+
 def test_off_nothing_is_reported_or_used() -> None:
     """Guards against a change of decisions where sharing is not switched on."""
     domain = make_domain(share_room=False)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -5,7 +5,7 @@
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.http.rate_limit import NamedRateLimit
 from cactusvane.keeper_entry import KeeperEntry
-from cactusvane.metrics import Recorder
+from cactusvane.metrics import Recorder, RoomCounts
 from cactusvane.outcome import Outcome
 from cactusvane.placement.placement import Placement
 from cactusvane.placement.settings import PlacementSettings
@@ -51,6 +51,17 @@
     assert 'cactusvane_targets{service="records",state="paused"} 0.0' in text
 
 
+def test_exposition_lists_free_slots_of_other_failure_domains():
+    """Guards against a shortage whose cause, missing or old reports, shows nowhere."""
+    recorder = Recorder()
+    assert "cactusvane_remote" not in recorder.text().decode()
+    recorder.rooms = [RoomCounts("records", "Witvlei", 7, 120.0)]
+    text = recorder.text().decode()
+    labels = 'failure_domain="Witvlei",service="records"'
+    assert f"cactusvane_remote_free_slots{{{labels}}} 7.0" in text
+    assert f"cactusvane_remote_report_age_ms{{{labels}}} 120.0" in text
+
+
 def test_an_ejection_is_counted_for_its_service():
     settings = Settings("e1", "Gobabis", ANY, ANY, ANY, ANY)
     entry = KeeperEntry(settings, ManualClock(), Random(1), Recorder())
