--- a/cactusvane/placement/room.py
+++ b/cactusvane/placement/room.py
@@ -267,7 +267,7 @@
             Current time in milliseconds (monotonic clock of the process).
         """
         local = [target for target in usable if target.vm.failure_domain == self.failure_domain]
-        if any(is_free(target, now) for target in local):
+        if any(target.load < target.slots for target in local):
             return Choice(usable)
         recent = self.reports.recent(now)
         if not recent:
@@ -277,7 +277,7 @@
         there = [] if inputs is None else free_targets(usable, inputs.failure_domain, now)
         if there:
             return Choice([self.placement.random.choice(there)], PlacementReason.ROOM, inputs)
-        if not local:
+        if all(is_bad(target, now) for target in local):
             return Choice(usable)
         full = self.full_domains(recent)
         return Choice([target for target in usable if target.vm.failure_domain not in full])
--- a/tests/placement/test_room.py
+++ b/tests/placement/test_room.py
@@ -136,6 +136,29 @@
     assert decision.name in REMOTE_TARGETS
 
 
+def test_a_bad_target_with_a_free_slot_is_no_shortage() -> None:
+    """Guards against moving requests away for failures, which costs decide about as before."""
+    domain = make_domain()
+    fill(domain, ("t0",))
+    for _ in range(5):
+        placement_of(domain).record_observation(failed("t1", Outcome.FAILED), NOW)
+    receive(domain, report())
+    assert not went_for_room(decide(domain))
+
+
+def test_with_bad_targets_alone_a_full_failure_domain_is_not_left_out() -> None:
+    """Guards against requests that must stay at failing targets because others are busy."""
+    domain = make_domain()
+    fill(domain, LOCAL_TARGETS)
+    for name in LOCAL_TARGETS:
+        for _ in range(5):
+            placement_of(domain).record_observation(failed(name, Outcome.FAILED), NOW)
+    receive(domain, report(free_slots=0))
+    decision = decide(domain)
+    assert isinstance(decision, Place)
+    assert decision.name in REMOTE_TARGETS
+
+
 def test_requests_of_other_failure_domains_occupy_reported_slots() -> None:
     """Guards against two failure domains that both fill the free slots of a third one.
 
