--- a/bench/load.py
+++ b/bench/load.py
@@ -1,9 +1,10 @@
 """Simulate difficult load patterns: ``make bench-load``.
 
 Entries of three failure domains send requests to the targets of one service. The bench compares
-the placement of `cactusvane.placement`, a random choice within the failure domain, and a perfect
-queue for all slots that knows the work of each request and the state of each target. The last line
-of the output is one JSON object.
+the placement of `cactusvane.placement`, the same with reports of free slots between the failure
+domains, and with one of them cut off from these, a random choice within the failure domain, and a
+perfect queue for all slots that knows the work of each request and the state of each target. The
+last line of the output is one JSON object.
 """
 
 from __future__ import annotations
@@ -18,9 +19,11 @@
 
 from bench.load_model import (
     DOMAINS,
+    LENGTH_MS,
     NETWORK_DELAY_MS,
     NO_CUSTOMER,
     PATTERNS,
+    SWINGS,
     Call,
     CustomerLoad,
     Kind,
@@ -34,7 +37,9 @@
 from cactusvane.fleet.vm import Address
 from cactusvane.outcome import Outcome
 from cactusvane.placement.domain import Domain
+from cactusvane.placement.group_reports import REPORT_INTERVAL_MS
 from cactusvane.placement.messages import (
+    DomainReport,
     Observation,
     Place,
     Reject,
@@ -66,6 +71,15 @@
 LATE_WORTH_SHARE = 0.3
 """Share of its worth that a request has if it is served after its latency objective."""
 
+REPORT_DELAY_MS = 60.0
+REPORT_LOSS_SHARE = 0.1
+"""Time until a report of another failure domain arrives, and the share of those that do not."""
+
+CUT_OFF_DOMAIN = DOMAINS[0]
+CUT_OFF_FROM_MS = 4_000.0
+CUT_OFF_UNTIL_MS = 18_000.0
+"""Which failure domain exchanges no reports with the others in `CutOffEntry`, and when."""
+
 STORE_STATUS = StoreStatus(True, 0.0, None, {})
 RETRIES = RetrySettings(0.18, 1.2, paced_sheds=0, free_connects=4)
 LIMIT = RetryLimit(share=0.18, extra=57.6, window_ms=10_000.0, domains=len(DOMAINS))
@@ -217,6 +231,55 @@
         self.placement.shares = None
 
 
+class RoomEntry(SharedEntry):
+    """An entry whose failure domain exchanges reports on free capacity with the others."""
+
+    settings = PlacementSettings(share_room=True)
+
+    def __init__(self, fleet: Fleet, name: str, domain: str) -> None:
+        super().__init__(fleet, name, domain)
+        self.reports_sent = 0
+        self.losses = Random(f"losses of {name}")
+        if name == f"{domain}0":
+            fleet.simulator.after(0.0, self.send_report)
+
+    def send_report(self) -> None:
+        """Send a report to the entries of each other failure domain, and schedule the next one."""
+        now = self.fleet.simulator.now
+        if now > LENGTH_MS:
+            return
+        self.fleet.simulator.after(REPORT_INTERVAL_MS, self.send_report)
+        assert self.domain.rooms is not None
+        self.reports_sent += 1
+        own = self.domain.failure_domain
+        report = self.domain.rooms.fill(DomainReport(self.name, own, 0, self.reports_sent, 1), now)
+        for domain in DOMAINS:
+            if domain != own and not self.is_lost(domain, now):
+                self.fleet.simulator.after(
+                    REPORT_DELAY_MS, lambda domain=domain: self.deliver(report, domain)  # type: ignore[misc]
+                )
+
+    def is_lost(self, domain: str, now: float) -> bool:
+        """Return whether a report to a failure domain is lost."""
+        return self.losses.random() < REPORT_LOSS_SHARE
+
+    def deliver(self, report: DomainReport, domain: str) -> None:
+        """Pass a report to all entries of a failure domain."""
+        for entry in self.fleet.entries:
+            if entry.domain.failure_domain == domain and entry.domain.rooms is not None:
+                entry.domain.rooms.receive(report, self.fleet.simulator.now)
+
+
+class CutOffEntry(RoomEntry):
+    """The same, but no report from or to one of the failure domains arrives for some time."""
+
+    def is_lost(self, domain: str, now: float) -> bool:
+        """Return whether a report to a failure domain is lost."""
+        is_cut = CUT_OFF_DOMAIN in (domain, self.domain.failure_domain)
+        in_time = CUT_OFF_FROM_MS <= now < CUT_OFF_UNTIL_MS
+        return (is_cut and in_time) or super().is_lost(domain, now)
+
+
 class BlindEntry(SharedEntry):
     """An entry that chooses a random target of its failure domain and shares no state."""
 
@@ -394,8 +457,7 @@
 
 def choose_entry(pattern: Pattern, fleet: Fleet) -> SharedEntry:
     """Return the entry that receives the next request."""
-    now = fleet.simulator.now
-    weights = [pattern.domain_weight(domain, now) for domain in DOMAINS]
+    weights = pattern.domain_weights(fleet.simulator.now)
     if len(set(weights)) == 1:
         return fleet.random.choice(fleet.entries)
     (domain,) = fleet.random.choices(DOMAINS, weights)
@@ -527,6 +589,12 @@
 
 SEEDS = (1, 2)
 
+ENTRIES_BY_COLUMN: dict[str, MakeEntry] = {
+    "served": SharedEntry,
+    "room": RoomEntry,
+    "cut_off": CutOffEntry,
+}
+
 
 def worth_share(tallies: list[Tally]) -> float:
     """Return the worth of the served requests as a share of the worth of all requests."""
@@ -536,14 +604,17 @@
 def main() -> None:
     """Simulate all patterns and print the table, followed by the JSON line."""
     result: dict[str, dict[str, float]] = {}
-    print(f"{'pattern':16} {'served':>8} {'perfect':>8} {'blind':>8}")
-    for pattern in PATTERNS:
-        shared = worth_share([run_pattern(pattern, seed, SharedEntry) for seed in SEEDS])
-        blind = worth_share([run_pattern(pattern, seed, BlindEntry) for seed in SEEDS])
-        perfect = worth_share([run_perfect_queue(pattern, seed) for seed in SEEDS])
-        row = {"served": shared, "perfect": perfect, "blind": blind}
+    print(f"{'pattern':18} {'served':>8} {'room':>8} {'cut off':>8} {'perfect':>8} {'blind':>8}")
+    for pattern in (*PATTERNS, *SWINGS):
+        row = {
+            name: worth_share([run_pattern(pattern, seed, make) for seed in SEEDS])
+            for name, make in ENTRIES_BY_COLUMN.items()
+        }
+        row["perfect"] = worth_share([run_perfect_queue(pattern, seed) for seed in SEEDS])
+        row["blind"] = worth_share([run_pattern(pattern, seed, BlindEntry) for seed in SEEDS])
         result[pattern.name] = {name: round(value, 4) for name, value in row.items()}
-        print(f"{pattern.name:16} {shared:8.3f} {perfect:8.3f} {blind:8.3f}", flush=True)
+        figures = " ".join(f"{value:8.3f}" for value in row.values())
+        print(f"{pattern.name:18} {figures}", flush=True)
     print(json.dumps({"patterns": result}))
 
 
--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -138,7 +138,7 @@
     kinds
         Kinds of requests that callers send.
     targets
-        Number of targets, distributed evenly over the failure domains.
+        Number of targets.
     load
         Offered load as a share of the capacity of all slots, at a time in milliseconds.
     modes
@@ -149,12 +149,15 @@
         Work of a request as a multiple of that of its kind, at a time in milliseconds.
     tail_share
         Share of requests with `TAIL_FACTOR` times the work.
-    domain_weight
-        Share of the callers in a failure domain at a time in milliseconds, relative to the others.
     customers
         Customers, whose loads are in proportion to `CustomerLoad.load`; empty for none.
     length_ms
         Time during which requests arrive.
+    domain_targets
+        Numbers of targets by failure domain; empty if they are distributed evenly.
+    domain_load
+        Load of a failure domain by its index, as a multiple of the usual one, at a time in
+        milliseconds; None if each entry gets an equal share of the requests.
     """
 
     name: str
@@ -165,9 +168,10 @@
     slots: int = SLOTS
     work_factor: Callable[[Kind, float], float] = lambda kind, now: 1.0
     tail_share: float = 0.0
-    domain_weight: Callable[[str, float], float] = lambda domain, now: 1.0
     customers: tuple[CustomerLoad, ...] = ()
     length_ms: float = LENGTH_MS
+    domain_targets: tuple[int, ...] = ()
+    domain_load: Callable[[int, float], float] | None = None
 
     def work_ms(self, kind: Kind, now: float, random: Random) -> float:
         """Return the work of one request."""
@@ -176,6 +180,23 @@
             work_ms *= TAIL_FACTOR
         return work_ms
 
+    def domain_of(self, number: int) -> str:
+        """Return the failure domain of a target."""
+        if not self.domain_targets:
+            return DOMAINS[number % len(DOMAINS)]
+        for domain, count_there in zip(DOMAINS, self.domain_targets, strict=True):
+            if number < count_there:
+                return domain
+            number -= count_there
+        raise ValueError(f"pattern {self.name} has fewer targets")
+
+    def domain_weights(self, now: float) -> list[float]:
+        """Return the loads of the failure domains, relative to each other."""
+        if self.domain_load is None:
+            return [1.0] * len(DOMAINS)
+        targets = self.domain_targets or [1] * len(DOMAINS)
+        return [count * self.domain_load(index, now) for index, count in enumerate(targets)]
+
 
 @dataclass(slots=True)
 class Call:
@@ -268,7 +289,7 @@
 
     found = []
     for number in range(pattern.targets):
-        domain = DOMAINS[number % len(DOMAINS)]
+        domain = pattern.domain_of(number)
         address = Address("10.0.0.1", 8_000 + number)
         vm = Vm(f"t{number}", address, domain, service="s", slots=pattern.slots)
         found.append(Target(simulator, vm, mode_of(number), random))
@@ -309,6 +330,43 @@
     return modes
 
 
+SWING_PERIOD_MS = 17_000.0
+FAST_SWING_PERIOD_MS = 12_000.0
+SWING_SHARE = 0.55
+SWING_TARGETS = (8, 5, 3)
+
+
+def swing(index: int, now: float, period_ms: float = SWING_PERIOD_MS) -> float:
+    """Return the load of a failure domain, which swings around 1 with a phase of its own."""
+    return 1.0 + SWING_SHARE * sin(2.0 * pi * (now / period_ms + index / len(DOMAINS)))
+
+
+def fast_swing(index: int, now: float) -> float:
+    """Return the same with a shorter period."""
+    return swing(index, now, FAST_SWING_PERIOD_MS)
+
+
+def swing_total(mean: float) -> Callable[[float], float]:
+    """Return the load of all failure domains together, if each one's mean load is `mean`."""
+    targets = sum(SWING_TARGETS)
+    return lambda now: mean * sum(
+        count_there * swing(index, now) / targets for index, count_there in enumerate(SWING_TARGETS)
+    )
+
+
+def swinging(mean: float, kind: Kind) -> Pattern:
+    """Return a pattern in which the failure domains' loads swing around `mean`."""
+    return Pattern(
+        f"swing {mean:g} {kind.route.kind}",
+        (kind,),
+        sum(SWING_TARGETS),
+        swing_total(mean),
+        healthy,
+        domain_targets=SWING_TARGETS,
+        domain_load=swing,
+    )
+
+
 ROTATING_GRAY = rotating(Mode(0.75), 4_000, 4)
 
 PATTERNS = (
@@ -363,21 +421,12 @@
 SPEEDS = tuple(Mode(factor=factor) for factor in (0.5, 1.0, 1.5))
 """Speeds that differ by a factor of three, at usual speed on average."""
 
-SWING = 0.55
-SWING_PERIOD_MS = 12_000.0
-
 
 def by_speed(number: int, now: float) -> Mode:
     """Return the mode of a target whose speed is fixed; each failure domain has all speeds."""
     return SPEEDS[number // len(DOMAINS) % len(SPEEDS)]
 
 
-def swing(domain: str, now: float) -> float:
-    """Return the load of a failure domain, which swings around 1 with a phase of its own."""
-    phase = DOMAINS.index(domain) / len(DOMAINS)
-    return 1.0 + SWING * sin(2.0 * pi * (now / SWING_PERIOD_MS + phase))
-
-
 def heavier_paths(kind: Kind, now: float) -> float:
     """Return ten times the work for the light path in the middle of the run."""
     is_light = kind.work_ms == LIGHT_MS
@@ -406,7 +455,7 @@
     work_pattern("work by size", BY_SIZE),
     work_pattern("work by nothing", BY_NOTHING),
     work_pattern("three speeds", BY_PATH, STEADY_LOAD, by_speed),
-    replace(work_pattern("swing", BY_PATH, STEADY_LOAD), domain_weight=swing),
+    replace(work_pattern("swing", BY_PATH, STEADY_LOAD), domain_load=fast_swing),
     replace(work_pattern("tail", BY_PATH, steady(0.7)), tail_share=0.05),
     replace(work_pattern("wrong estimate", BY_PATH, steady(0.3)), work_factor=heavier_paths),
 )
@@ -473,3 +522,7 @@
     with_customers("no shortage", ranked_customers(0.5, hot=1, factor=2.0)),
 )
 """Patterns with customers; those of the hot ones last for the whole run."""
+
+
+SWINGS = tuple(swinging(mean, kind) for kind in (BOOKING, TIGHT) for mean in (0.75, 0.8, 0.85))
+"""Patterns for the exchange of free capacity between failure domains."""
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -35,6 +35,7 @@
     WorkInputs,
 )
 from cactusvane.placement.rate_limits import RateLimits
+from cactusvane.placement.room import ServiceRooms
 from cactusvane.placement.settings import PlacementSettings
 from cactusvane.placement.target import Target
 from cactusvane.placement.target_notices import TargetNotices
@@ -90,6 +91,8 @@
         Whether recent responses came within their latency objective.
     shares
         Work of customers in flight, and their fair shares; None if the configuration has none.
+    rooms
+        Free capacity of other failure domains; None if it is not shared.
     """
 
     def __init__(
@@ -118,6 +121,7 @@
         self.idle_limit = IdleLimit()
         self.shares: ServiceShares | None = None
         self.idle_ms: Callable[[Address], float | None] = lambda target: None
+        self.rooms: ServiceRooms | None = None
 
     def set_mixed(self, mixed: bool) -> None:
         """Apply whether the service's routes differ much; what was learned is kept while they do.
@@ -190,7 +194,11 @@
             decision = self.choose(probes, PlacementReason.UNUSED, profile, now)
             if isinstance(decision, Place):
                 return decision
-        return self.choose(usable, PlacementReason.CHEAPEST, profile, now)
+        if self.rooms is None:
+            return self.choose(usable, PlacementReason.CHEAPEST, profile, now)
+        choice = self.rooms.choose(usable, profile, now)
+        decision = self.choose(choice.targets, choice.reason, profile, now)
+        return replace(decision, room=choice.inputs) if isinstance(decision, Place) else decision
 
     def choose(
         self, targets: list[Target], reason: PlacementReason, profile: RequestProfile, now: float
