--- a/cactusvane/http/server_connection.py
+++ b/cactusvane/http/server_connection.py
@@ -1,4 +1,7 @@
-"""One caller's connection to the HTTP server, parsed strictly by h11."""
+"""One caller's connection to the HTTP server: its state, the order of its requests and its end.
+
+`receiving` reads the requests from the received bytes and `responding` writes the responses.
+"""
 
 import asyncio
 import socket
@@ -9,19 +12,18 @@
 import h11
 
 from cactusvane import events
-from cactusvane.errors import BrokenResponseError, RequestError
+from cactusvane.errors import RequestError
 from cactusvane.events import Event
-from cactusvane.http.check import bad_request, body_too_large, check_head, check_lines
+from cactusvane.http.check import bad_request
 from cactusvane.http.connection_log import log_displaced, log_unanswered
 from cactusvane.http.exchange import PIPELINED_METHODS, Caller, Exchange
 from cactusvane.http.memory import SMALL_BYTES, ClosingReason
-from cactusvane.http.message import BodyStream, Response, find_header
 from cactusvane.http.output import Output
-from cactusvane.http.parser_errors import describe
 from cactusvane.http.places import Activity
+from cactusvane.http.receiving import begin_body, handle_received
 from cactusvane.http.refusal import error_response
+from cactusvane.http.responding import serve
 from cactusvane.http.timer import Timer
-from cactusvane.http.turns import EVENTS_PER_TURN
 from cactusvane.settings import HttpLimits
 from cactusvane.verdict import Verdict
 
@@ -32,9 +34,6 @@
 """Time in milliseconds for which input is discarded after a rejection, so that a caller which is
 still sending can read the response."""
 
-NO_MEMORY_RETRY_AFTER_MS = 1_000.0
-"""Delay after which a caller may repeat an upload that there was no memory for."""
-
 DISPLACED_RETRY_AFTER_MS = 1_000.0
 """Delay after which a caller whose unfinished request gave way to others may repeat it."""
 
@@ -232,7 +231,7 @@
 
     def advance(self) -> None:
         """Handle the events that the parser has, many of them in later turns of the event loop."""
-        if not self.deferred and self.handle_received():
+        if not self.deferred and handle_received(self):
             self.defer()
 
     def defer(self) -> None:
@@ -244,7 +243,7 @@
 
     def handle_deferred(self) -> bool:
         """Handle deferred events; read on once there are none. Return whether there are more."""
-        if not self.discards_input and self.may_read_next() and self.handle_received():
+        if not self.discards_input and self.may_read_next() and handle_received(self):
             return True
         self.deferred = False
         self.update_place()
@@ -280,112 +279,10 @@
         left_ms = self.body_due_at - self.server.clock.now()
         self.timer.set(max(0.0, min(self.limits.stall_ms, left_ms)), self.reject_slow_body)
 
-    def handle_received(self) -> bool:
-        """Handle some events of the parser; return whether there are more."""
-        incoming = self.incoming
-        if incoming.head is None and not self.head_started and incoming.parser.trailing_data[0]:
-            self.head_started = True
-            self.timer.set(self.limits.head_ms, self.reject_slow_head)
-        try:
-            if incoming.head is None:
-                check_lines(incoming.parser.trailing_data[0])
-            for _ in range(EVENTS_PER_TURN):
-                if not self.handle_event(self.incoming.parser.next_event()):
-                    return False
-        except h11.RemoteProtocolError as error:
-            self.reject(bad_request("bad-http", describe(error), error.error_status_hint))
-            return False
-        except RequestError as error:
-            self.reject(error)
-            return False
-        return True
-
-    def handle_event(self, event: object) -> bool:
-        """Handle one event of the parser; return whether another event may follow."""
-        match event:
-            case h11.Request():
-                self.handle_head(event)
-                return self.may_run(event)
-            case h11.Data():
-                self.handle_data(event.data)
-                return True
-            case h11.EndOfMessage():
-                self.dispatch()
-                return False
-            case h11.ConnectionClosed():
-                self.close()
-                return False
-            case _:
-                return False
-
     def may_run(self, head: h11.Request) -> bool:
         """Return whether a request may run now; one that does not only read waits for others."""
         return not self.exchanges or head.method in PIPELINED_METHODS
 
-    def handle_head(self, head: h11.Request) -> None:
-        """Validate the head and wait for the body.
-
-        Raises
-        ------
-        RequestError
-            The head is invalid or too large.
-        """
-        self.incoming.head = head
-        self.head_started = False
-        check_head(head, self.limits)
-        length = find_header(head.headers, b"content-length")
-        if length is not None:
-            self.reserve(int(length))
-        if not self.may_run(head):
-            self.timer.clear()
-            return
-        self.begin_body()
-
-    def begin_body(self) -> None:
-        """Receive the body of a request that may run."""
-        limits = self.limits
-        self.body_due_at = self.server.clock.now() + limits.body_ms
-        self.timer.set(min(limits.stall_ms, limits.body_ms), self.reject_slow_body)
-        self.ask_for_body()
-
-    def ask_for_body(self) -> None:
-        """Send the interim response that the caller waits for, unless a response is due first."""
-        if self.incoming.parser.they_are_waiting_for_100_continue and not self.exchanges:
-            interim = h11.InformationalResponse(status_code=100, headers=[])
-            self.output.write(self.incoming.parser.send(interim) or b"")
-
-    def reserve(self, size: int) -> None:
-        """Reserve memory for a body of this size.
-
-        Raises
-        ------
-        RequestError
-            There is not enough memory now: status 503.
-        """
-        upload = self.incoming.upload
-        if size <= upload.size:
-            return
-        while not upload.take(size):
-            if self.server.displace_upload():
-                continue
-            text = f"there is no room for a body of {size} bytes now"
-            raise RequestError(503, "no-memory", text, Verdict.NOT_RUN, NO_MEMORY_RETRY_AFTER_MS)
-
-    def handle_data(self, data: bytes | bytearray) -> None:
-        """Buffer a part of the body.
-
-        Raises
-        ------
-        RequestError
-            The body is too large (status 413), or there is not enough memory now (503).
-        """
-        body = self.incoming.body
-        size = len(body) + len(data)
-        if size > self.limits.body_bytes:
-            raise body_too_large(self.limits)
-        self.reserve(size)
-        body += data
-
     def dispatch(self) -> None:
         """Pass the complete request to the handler and start to read the next one."""
         self.timer.clear()
@@ -396,7 +293,7 @@
         self.exchanges.append(exchange)
         if self.caller_gone:
             exchange.caller.mark_gone()
-        exchange.task = self.loop.create_task(self.serve(exchange))
+        exchange.task = self.loop.create_task(serve(self, exchange))
         if is_ahead:
             self.server.count_ahead(exchange.task)
         if exchange.parser.their_state is not h11.MUST_CLOSE:
@@ -409,76 +306,6 @@
             if data and self.may_read_next():
                 self.advance()
 
-    async def serve(self, exchange: Exchange) -> None:
-        """Run the handler for one request and write the response when it is next in order."""
-        response: Response | None = None
-        try:
-            response = await self.call_handler(exchange)
-            exchange.answered = response.rest is None
-            exchange.response_bytes = len(response.body)
-            if not self.was_lost:
-                self.output.update()
-            if self.output.is_blocked:
-                self.update_place()
-            await exchange.may_respond
-            if not self.closing:
-                await self.send(exchange, response)
-        except BrokenResponseError as error:
-            self.reset(f"a response broke off: {error}")
-        except asyncio.CancelledError:
-            self.reset("a request was cancelled")
-        except Exception as error:
-            events.write(Event.HTTP_SEND_FAILED, error=repr(error))
-            self.reset(f"a response could not be sent: {error!r}")
-        finally:
-            if response is not None and response.rest is not None:
-                await response.rest.aclose()
-            self.finish(exchange)
-
-    async def call_handler(self, exchange: Exchange) -> Response:
-        """Return the handler's response, or an error response for what it raised."""
-        try:
-            return await self.server.handler(exchange.request(), exchange.caller)
-        except RequestError as error:
-            return error_response(error)
-        except Exception as error:
-            events.write(Event.HTTP_HANDLER_FAILED, error=repr(error))
-            text = "internal error; the request may have run"
-            return error_response(RequestError(500, "internal", text, Verdict.MAY_HAVE_RUN))
-
-    async def send(self, exchange: Exchange, response: Response) -> None:
-        """Write a response as fast as the caller reads it."""
-        self.ending = self.ending or self.server.leaving or exchange.caller.gone
-        close = self.ending and self.exchanges[-1] is exchange and self.rejection is None
-        exchange.response_bytes = 0
-        head = exchange.encode_head(response, close)
-        if response.rest is None:
-            self.output.write(head + exchange.encode_end())
-        else:
-            self.output.write(head)
-            await self.wait_writable()
-            await self.send_rest(exchange, response.rest)
-            if self.closing:
-                return
-            self.output.write(exchange.encode_end())
-        await self.wait_writable()
-
-    async def send_rest(self, exchange: Exchange, rest: BodyStream) -> None:
-        """Write the remaining body of a large response as fast as the caller reads it."""
-        async for part in rest:
-            if self.closing:
-                return
-            self.output.write(exchange.encode_data(part))
-            await self.wait_writable()
-
-    async def wait_writable(self) -> None:
-        """Wait until the transport is writable.
-
-        The connection is reset if the caller reads nothing within `HttpLimits.body_ms`.
-        """
-        if self.output.is_blocked:
-            await self.output.wait_writable(self.limits.body_ms, self.reset_unread)
-
     def reset_unread(self) -> None:
         """Reset the connection of a caller that does not read."""
         self.server.budgets.closed[ClosingReason.UNREAD] += 1
@@ -521,7 +348,7 @@
     def continue_reading(self) -> None:
         """Read the next request, after those ahead of it; wait for one if none is buffered."""
         if self.incoming.head is not None:
-            self.begin_body()
+            begin_body(self)
             self.advance()
         elif self.incoming.parser.trailing_data[0]:
             self.defer()
