--- a/cactusvane/fleet_process.py
+++ b/cactusvane/fleet_process.py
@@ -11,9 +11,7 @@
 from random import Random
 
 from cactusvane import events
-from cactusvane.admin import metrics_response, ready_response
 from cactusvane.clock import MS_PER_SECOND, Clock
-from cactusvane.customers.freshness import FreshnessSettings
 from cactusvane.entry import Entry
 from cactusvane.errors import CactusvaneError
 from cactusvane.events import Event
@@ -21,6 +19,8 @@
 from cactusvane.fleet.departed import DepartedTargets
 from cactusvane.fleet.lapse import LapsedTargets
 from cactusvane.fleet.vm import Vm
+from cactusvane.fleet_parts import make_follower, make_group_reports, make_prover
+from cactusvane.fleet_responses import handle_admin_request, handle_peer_request
 from cactusvane.fleet_settings import (
     CONFIGURATION_TABLE,
     TARGETS_TABLE,
@@ -28,34 +28,23 @@
     FleetLimits,
     Platform,
 )
-from cactusvane.following import exchange
 from cactusvane.following.decoder import VersionedConfiguration
-from cactusvane.following.exchange import (
-    TABLES_PATH,
-    EntryClient,
-    encode_response,
-    requested_position,
-)
+from cactusvane.following.exchange import EntryClient
 from cactusvane.following.finder import EntryFinder
 from cactusvane.following.follower import TableChange, TableFollower
 from cactusvane.following.newest import NewestConfiguration
 from cactusvane.following.notifier import CrashNotifier
 from cactusvane.following.other_entries import OtherEntries
-from cactusvane.following.prover import FreshnessProver
 from cactusvane.following.puller import TablePuller
 from cactusvane.following.readers import ReaderCandidate, is_reader
-from cactusvane.http.check import bad_request
+from cactusvane.following.status import reader_candidate, store_status
 from cactusvane.http.connection import FreshConnections
-from cactusvane.http.exchange import Caller
 from cactusvane.http.memory import budgets_for
-from cactusvane.http.message import Request, Response
 from cactusvane.http.server import Server
 from cactusvane.metrics import Recorder
 from cactusvane.placement.domain import Domain
-from cactusvane.placement.group_reports import GroupReports, OwnGroup
 from cactusvane.placement.messages import RelayedUpdate, StoreStatus
 from cactusvane.placement.placer import SharedPlacer
-from cactusvane.placement.room import describe_rooms
 from cactusvane.placement.sender import UpdateSender
 from cactusvane.quota.gate import QuotaGate
 from cactusvane.settings import Settings
@@ -135,10 +124,10 @@
         self.domain.idle_ms = self.entry.idle_connections.idle_ms
         self.entry_client = EntryClient(settings.http)
         self.followers = {
-            CONFIGURATION_TABLE: self.make_follower(
-                CONFIGURATION_TABLE, self.configuration_changed
+            CONFIGURATION_TABLE: make_follower(
+                self, CONFIGURATION_TABLE, self.configuration_changed
             ),
-            TARGETS_TABLE: self.make_follower(TARGETS_TABLE, self.targets_changed),
+            TARGETS_TABLE: make_follower(self, TARGETS_TABLE, self.targets_changed),
         }
         self.finder = EntryFinder(
             settings,
@@ -159,7 +148,7 @@
             self.clock,
             self.random,
         )
-        self.group_reports = self.make_group_reports(started)
+        self.group_reports = make_group_reports(self, started)
         self.quota_gate = QuotaGate(
             fleet,
             self.domain,
@@ -170,7 +159,7 @@
             self.random,
         )
         self.puller = TablePuller(self.domain, self.followers, self.clock, self.random)
-        self.prover = None if fleet.revoke_ms is None else self.make_prover(fleet.revoke_ms)
+        self.prover = None if fleet.revoke_ms is None else make_prover(self, fleet.revoke_ms)
         self.entry.gate.quota = self.quota_gate
         if self.prover is not None:
             self.entry.gate.freshness = self.prover.gate
@@ -186,8 +175,8 @@
         self.lapsed = LapsedTargets(fleet.max_retention_ms(settings.http.connect_ms))
         self.server = Server(settings.http, self.entry.handle, self.budgets)
         side = settings.http.for_side()
-        self.admin = Server(side, self.handle_admin_request, self.budgets)
-        self.peer_server = Server(side, self.handle_peer_request, self.budgets)
+        self.admin = Server(side, partial(handle_admin_request, self), self.budgets)
+        self.peer_server = Server(side, partial(handle_peer_request, self), self.budgets)
         self.configuration_rows: dict[str, bytes] = {}
         self.listed: tuple[Vm, ...] = ()
         self.stopping = asyncio.Event()
@@ -195,81 +184,10 @@
         self.was_ready = False
         self.tasks: set[asyncio.Task[None]] = set()
 
-    def make_follower(self, table: str, changed: Callable[[TableChange], None]) -> TableFollower:
-        """Return a follower of one table.
-
-        Parameters
-        ----------
-        table
-            Name of the table.
-        changed
-            Called with each change.
-        """
-        follower = TableFollower(
-            table,
-            self.platform.source,
-            self.entry_client.pull,
-            self.clock,
-            self.random,
-            self.fleet.follow,
-        )
-        follower.on_change = changed
-        follower.on_response = partial(self.update_sender.schedule_update, urgent=False)
-        follower.should_read = self.should_read
-        return follower
-
-    def make_prover(self, revoke_ms: float) -> FreshnessProver:
-        """Return what proves that the configuration is current.
-
-        Parameters
-        ----------
-        revoke_ms
-            Time after the removal of a key from which no request with it may run.
-        """
-        prover = FreshnessProver(
-            self.followers[CONFIGURATION_TABLE],
-            self.platform.decoder.configuration_keys,
-            self.domain,
-            self.other_entries.foreign_addresses,
-            self.update_sender.send,
-            self.start_task,
-            FreshnessSettings(revoke_ms),
-            self.clock,
-            self.random,
-        )
-        self.update_sender.on_freshness = prover.receive
-        return prover
-
-    def make_group_reports(self, started: int) -> GroupReports:
-        """Return the exchange of reports with other groups.
-
-        Parameters
-        ----------
-        started
-            Start time of this process in milliseconds since the epoch.
-        """
-        reports = GroupReports(
-            self.settings.vm,
-            started,
-            self.own_group,
-            self.other_entries.entries,
-            self.other_entries.seed_addresses,
-            self.random,
-        )
-        self.update_sender.relaying.reports = reports
-        if self.domain.rooms is not None:
-            reports.fills.append(self.domain.rooms.fill)
-            reports.listeners.append(self.domain.rooms.receive)
-        return reports
-
     def relay(self) -> str:
         """Return the VM that is the relay of this VM's group."""
         return self.update_sender.relaying.relay
 
-    def own_group(self) -> OwnGroup:
-        """Return the group of this VM."""
-        return OwnGroup(self.domain.group_key(), self.domain.group(), self.relay())
-
     @property
     def ready(self) -> bool:
         """Whether callers should be sent to this VM.
@@ -290,30 +208,12 @@
 
     def store_status(self) -> StoreStatus:
         """Return how the platform's tables respond to this VM."""
-        now = self.clock.now()
-        followers = self.followers.values()
-        failing = any(follower.failing for follower in followers)
-        response_times = [follower.last_response_at for follower in followers]
-        known = [at for at in response_times if at is not None]
-        failures = [
-            follower.last_failure_at
-            for follower in followers
-            if follower.last_failure_at is not None
-        ]
-        return StoreStatus(
-            can_read=not failing and not self.stopping.is_set(),
-            response_age_ms=now - min(known) if len(known) == len(response_times) else None,
-            failure_age_ms=now - max(failures) if failures else None,
-            table_versions={
-                name: follower.copy.last_change_version for name, follower in self.followers.items()
-            },
-            table_eras={
-                name: follower.copy.era
-                for name, follower in self.followers.items()
-                if follower.copy.era
-            },
-            configuration_version=self.version,
-            proof_age_ms=None if self.prover is None else self.prover.proof_age_ms(),
+        return store_status(
+            self.followers,
+            self.clock.now(),
+            self.stopping.is_set(),
+            self.version,
+            None if self.prover is None else self.prover.proof_age_ms(),
         )
 
     def should_read(self) -> bool:
@@ -551,40 +451,3 @@
         await self.peer_server.drain(0)
         await self.admin.drain(0)
         events.write(Event.DAEMON_STOPPED, vm=self.settings.vm)
-
-    async def handle_admin_request(self, request: Request, caller: Caller) -> Response:
-        """Handle a request on the admin port."""
-        match request.method, request.path:
-            case "GET", "/ready":
-                return ready_response(self.ready)
-            case "GET", "/metrics":
-                now = self.clock.now()
-                self.recorder.targets = self.domain.count_targets(now)
-                self.recorder.rooms = describe_rooms(self.domain.placements, now)
-                self.recorder.proof_age_ms = (
-                    None if self.prover is None else self.prover.proof_age_ms()
-                )
-                if self.fleet.quota is not None:
-                    self.recorder.quota = self.quota_gate.counts()
-                self.recorder.isolated_requests = len(self.domain.crashes.isolated(now))
-                return metrics_response(self.recorder)
-            case _:
-                raise bad_request("no-route", "the paths are /ready and /metrics", 404)
-
-    async def handle_peer_request(self, request: Request, caller: Caller) -> Response:
-        """Handle a request from another entry: a table, the entries or the configuration."""
-        match request.path:
-            case exchange.ENTRIES_PATH:
-                return encode_response(self.finder.known_entries())
-            case exchange.CONFIGURATION_PATH:
-                return encode_response(self.configuration_rows)
-        follower = self.followers.get(request.path.removeprefix(TABLES_PATH))
-        if follower is None:
-            raise bad_request("no-route", f"entries do not serve {request.path}", 404)
-        return encode_response(follower.copy.changes_since(requested_position(request)))
-
-
-def reader_candidate(vm: str, status: StoreStatus, received_ago_ms: float) -> ReaderCandidate:
-    """Return another entry as a candidate, from the status received `received_ago_ms` ago."""
-    age = status.response_age_ms
-    return ReaderCandidate(vm, None if age is None else age + received_ago_ms, status.can_read)
