Move estimates, costs, learning, time limits and deferral out of placement.py

The decisions and the order of random draws are unchanged. Placement keeps its public attributes and delegates to ServiceEstimates, TargetCosts, ObservationRecorder, TimeLimits and Deferral.

--- a/cactusvane/placement/admission.py
+++ b/cactusvane/placement/admission.py
@@ -9,8 +9,9 @@
 from cactusvane.outcome import Outcome
 from cactusvane.placement.domain import Domain
 from cactusvane.placement.fair_share import StartedWork
+from cactusvane.placement.learning import FAILURE_OUTCOMES
 from cactusvane.placement.messages import Observation, Place, Reject, RequestProfile, Wait
-from cactusvane.placement.placement import FAILURE_OUTCOMES, Placement
+from cactusvane.placement.placement import Placement
 from cactusvane.placement.work import RunningWork
 from cactusvane.request.admission import Ticket
 
