--- a/cactusvane/placement/learning.py
+++ b/cactusvane/placement/learning.py
@@ -4,13 +4,14 @@
 """
 
 from cactusvane.outcome import Outcome
+from cactusvane.placement import features
 from cactusvane.placement.estimates import ServiceEstimates
 from cactusvane.placement.evidence import RecentOutcomes
 from cactusvane.placement.idle import IdleLimit
 from cactusvane.placement.messages import Observation, RequestProfile
 from cactusvane.placement.settings import PlacementSettings
 from cactusvane.placement.target import Target
-from cactusvane.placement.work import WorkEstimates
+from cactusvane.placement.work import RunningWork, WorkEstimates
 
 FAILURE_OUTCOMES = frozenset({Outcome.FAILED, Outcome.BROKEN, Outcome.TIMED_OUT})
 """Outcomes that count as evidence of failure of a target that was reached."""
@@ -46,6 +47,55 @@
         self.latency_outcomes = RecentOutcomes()
         self.idle_limit = IdleLimit()
 
+    def record_start(
+        self, target: Target, profile: RequestProfile | None, wait_ms: float, now: float
+    ) -> RunningWork | None:
+        """Record that this entry sent a request to a target.
+
+        Parameters
+        ----------
+        target, profile, wait_ms, now
+            As for `Placement.record_start`.
+
+        Returns
+        -------
+        RunningWork or None
+            The request in flight; None unless the settings ask for its work.
+        """
+        target.own_load += 1
+        target.used_at = now
+        work = self.estimates.work
+        if work is None or profile is None:
+            return None
+        packed = features.pack(profile.features, profile.customer)
+        estimate = work.estimate(profile.kind, packed, profile.latency_ms)
+        wait_ms /= self.estimates.congestion()
+        running = RunningWork(estimate.mean_ms, wait_ms, now + wait_ms, packed, estimate.spread)
+        target.own_work.add(running)
+        return running
+
+    def record_end(
+        self, target: Target, observation: Observation, now: float, running: RunningWork | None
+    ) -> None:
+        """Record the end of one of this entry's attempts at a target.
+
+        Parameters
+        ----------
+        target, observation, now, running
+            As for `Placement.record_end`.
+        """
+        target.own_load = max(0, target.own_load - 1)
+        if running is not None:
+            target.own_work.discard(running)
+        match observation.outcome:
+            case Outcome.UNREACHABLE:
+                target.record_unreachable(now)
+            case Outcome.DRAINING:
+                target.misplaced = True
+            case _:
+                target.record_connected()
+        self.record(target, observation, now)
+
     def record(self, target: Target, observation: Observation, now: float) -> None:
         """Apply the result of an attempt of any entry at a target."""
         if observation.outcome is not None:
--- a/cactusvane/placement/placement.py
+++ b/cactusvane/placement/placement.py
@@ -16,13 +16,13 @@
 
 from cactusvane.fleet.vm import Address, Vm
 from cactusvane.metrics import TargetCounts
-from cactusvane.outcome import Outcome
-from cactusvane.placement import features, floor
+from cactusvane.placement import floor
 from cactusvane.placement.affinity import Affinity
+from cactusvane.placement.availability import Availability
 from cactusvane.placement.costs import TargetCosts
 from cactusvane.placement.deferral import Deferral
 from cactusvane.placement.estimates import ServiceEstimates
-from cactusvane.placement.fair_share import Capacity, ServiceShares, StartedWork, measure_capacity
+from cactusvane.placement.fair_share import Capacity, ServiceShares, StartedWork
 from cactusvane.placement.learning import ObservationRecorder
 from cactusvane.placement.messages import (
     Decision,
@@ -37,15 +37,13 @@
 from cactusvane.placement.rate_limits import RateLimits
 from cactusvane.placement.room import ServiceRooms
 from cactusvane.placement.settings import PlacementSettings
+from cactusvane.placement.share_decisions import ShareDecisions
 from cactusvane.placement.target import Target
 from cactusvane.placement.target_notices import TargetNotices
 from cactusvane.placement.time_limits import TimeLimits
 from cactusvane.placement.urgency import Urgency
 from cactusvane.placement.work import Estimate, RunningWork, WorkEstimates
 
-UNUSED_MS = 2_000.0
-"""A target without a request for this long counts as unused in the metrics."""
-
 
 class Placement:
     """The targets of one service, as one entry knows them.
@@ -89,8 +87,10 @@
         Recent outcomes of the service's requests, including rejections.
     latency_outcomes
         Whether recent responses came within their latency objective.
-    shares
-        Work of customers in flight, and their fair shares; None if the configuration has none.
+    availability
+        Which targets accept requests, and from when on.
+    sharing
+        Fair sharing between customers.
     rooms
         Free capacity of other failure domains; None if it is not shared.
     """
@@ -120,10 +120,11 @@
         self.idle_limit = self.recorder.idle_limit
         self.affinity = Affinity(vm, failure_domain) if settings.affinity_cost_share else None
         self.urgency = Urgency()
+        self.availability = Availability(failure_domain, rate_limits, notices)
         self.costs = TargetCosts(failure_domain, random, settings)
         self.limits = TimeLimits(settings, self.latencies, self.latency_outcomes, self.urgency)
         self.deferral = Deferral(random, settings)
-        self.shares: ServiceShares | None = None
+        self.sharing = ShareDecisions(self.latencies, self.limits, self.deferral, self.capacity)
         self.idle_ms: Callable[[Address], float | None] = lambda target: None
         self.rooms: ServiceRooms | None = None
 
@@ -132,6 +133,15 @@
         """Expected work of requests; None unless the settings ask for it."""
         return self.estimates.work
 
+    @property
+    def shares(self) -> ServiceShares | None:
+        """Work of customers in flight, and their fair shares; None if there are no customers."""
+        return self.sharing.shares
+
+    @shares.setter
+    def shares(self, shares: ServiceShares | None) -> None:
+        self.sharing.shares = shares
+
     def set_mixed(self, mixed: bool) -> None:
         """Apply whether the service's routes differ much, as `ServiceEstimates.set_mixed`."""
         self.estimates.set_mixed(mixed)
@@ -181,11 +191,13 @@
         accepting = [
             target
             for target in self.targets.values()
-            if self.accepts_requests(target, now) and target.vm.address not in tried
+            if self.availability.accepts_requests(target, now) and target.vm.address not in tried
         ]
         if not accepting:
             return self.deferral.wait_or_reject(profile, "no-target", profile.latency_ms, now)
-        usable = [target for target in accepting if self.next_send_at(target, now) <= now]
+        usable = [
+            target for target in accepting if self.availability.next_send_at(target, now) <= now
+        ]
         if not usable:
             return self.wait_for_turn(profile, accepting, now)
         probes = [] if tried else self.targets_to_probe(usable, profile, now)
@@ -222,8 +234,8 @@
         )
         if self.limits.is_too_late(profile, inputs, expected_ms, now):
             return Reject("too-late", self.deferral.retry_after_ms(inputs.wait_ms))
-        if self.is_held_back(profile, inputs.wait_ms, expected_ms, now):
-            return self.wait_or_reject_share(profile, inputs.wait_ms, expected_ms, now)
+        if self.sharing.is_held_back(profile, inputs.wait_ms, expected_ms, now):
+            return self.sharing.wait_or_reject(profile, inputs.wait_ms, expected_ms, now)
         if inputs.wait_ms > self.limits.max_wait_ms(profile):
             return self.deferral.wait_or_reject(profile, "no-room", inputs.wait_ms, now)
         if estimate is not None:
@@ -244,66 +256,31 @@
 
     def start_work(self, profile: RequestProfile) -> StartedWork | None:
         """Count the expected work of a request that is sent; None if there are no customers."""
-        if self.shares is None:
-            return None
-        expected_ms = self.latencies.expected_ms(profile.kind, profile.latency_ms)
-        return self.shares.start(profile.customer, expected_ms)
+        return self.sharing.start_work(profile)
 
     def over_share(self, profiles: Collection[RequestProfile], now: float) -> set[RequestProfile]:
         """Return those requests that take their customers beyond their fair shares."""
-        if self.shares is None or not profiles:
-            return set()
-        capacity = self.capacity(now)
-        return {
-            profile
-            for profile in profiles
-            if self.shares.is_beyond(
-                profile, self.latencies.expected_ms(profile.kind, profile.latency_ms), capacity
-            )
-        }
-
-    def is_held_back(
-        self, profile: RequestProfile, wait_ms: float, expected_ms: float, now: float
-    ) -> bool:
-        """Return whether a request leaves a queue of this length to the other customers."""
-        if self.shares is None or wait_ms <= self.limits.max_share_wait_ms(profile, expected_ms):
-            return False
-        return self.shares.is_beyond(profile, expected_ms, self.capacity(now))
-
-    def wait_or_reject_share(
-        self, profile: RequestProfile, wait_ms: float, expected_ms: float, now: float
-    ) -> Wait | Reject:
-        """Return the decision about a request that is held back for its customer's share."""
-        decision = self.deferral.wait_or_reject(profile, "over-share", wait_ms, now)
-        if isinstance(decision, Reject) and self.shares is not None:
-            inputs = self.shares.inputs(profile, expected_ms, self.capacity(now), now)
-            return replace(decision, share=inputs)
-        return decision
-
-    def capacity(self, now: float) -> Capacity:
-        """Return the capacity of the service, as the customers share it."""
-        return measure_capacity(
-            self.targets.values(),
-            self.failure_domain,
-            lambda target: self.accepts_requests(target, now),
-        )
+        return self.sharing.over_share(profiles, now)
 
     def wait_for_turn(
         self, profile: RequestProfile, limited: list[Target], now: float
     ) -> Wait | Reject:
         """Return the decision on a request when each target has a rate limit or wants a pause."""
-        next_at = min(self.next_send_at(target, now) for target in limited)
-        paused = all(self.notices.next_send_at(target.vm) > now for target in limited)
+        next_at = min(self.availability.next_send_at(target, now) for target in limited)
+        paused = self.availability.all_paused(limited, now)
         return self.deferral.wait_for_turn(profile, next_at, paused, now)
 
     def accepts_requests(self, target: Target, now: float) -> bool:
         """Return whether a target may get new requests at all."""
-        return target.accepts_requests(now) and not self.notices.is_leaving(target.vm)
+        return self.availability.accepts_requests(target, now)
+
+    def capacity(self, now: float) -> Capacity:
+        """Return the capacity of the service, as the customers share it."""
+        return self.availability.capacity(self.targets.values(), now)
 
-    def next_send_at(self, target: Target, now: float) -> float:
-        """Return when this entry may send the next request to a target, by what that has said."""
-        limited_until = self.rate_limits.next_send_at(target.vm, now)
-        return max(limited_until, self.notices.next_send_at(target.vm))
+    def count_targets(self, now: float) -> TargetCounts:
+        """Return numbers of targets in the own failure domain."""
+        return self.availability.count_targets(self.targets.values(), now)
 
     def preferred(self, now: float) -> frozenset[str] | None:
         """Return the names of the targets that this entry prefers; None without a preference."""
@@ -333,23 +310,6 @@
         """Return the time after which a request in flight counts as evidence of failure."""
         return self.estimates.overdue_ms(kind, objective_ms, running)
 
-    def count_targets(self, now: float) -> TargetCounts:
-        """Return numbers of targets in the own failure domain."""
-        local = [
-            target
-            for target in self.targets.values()
-            if self.accepts_requests(target, now)
-            and target.vm.failure_domain == self.failure_domain
-        ]
-        leaving = sum(
-            self.notices.is_leaving(target.vm) and target.vm.failure_domain == self.failure_domain
-            for target in self.targets.values()
-        )
-        paused = sum(self.notices.next_send_at(target.vm) > now for target in local)
-        unused = sum(now - target.used_at > UNUSED_MS for target in local)
-        limited = sum(self.rate_limits.is_limited(target.vm.name) for target in local)
-        return TargetCounts(len(local), unused, limited, leaving, paused)
-
     def record_start(
         self,
         name: str,
@@ -378,19 +338,10 @@
         target = self.targets.get(name)
         if target is None:
             return None
-        target.own_load += 1
-        target.used_at = now
         self.rate_limits.record_start(name, now)
         if self.affinity is not None:
             self.affinity.record_request(now)
-        if self.work is None or profile is None:
-            return None
-        packed = features.pack(profile.features, profile.customer)
-        estimate = self.work.estimate(profile.kind, packed, profile.latency_ms)
-        wait_ms /= self.estimates.congestion()
-        running = RunningWork(estimate.mean_ms, wait_ms, now + wait_ms, packed, estimate.spread)
-        target.own_work.add(running)
-        return running
+        return self.recorder.record_start(target, profile, wait_ms, now)
 
     def record_end(
         self, observation: Observation, now: float, running: RunningWork | None = None
@@ -414,19 +365,8 @@
         if running is not None:
             observation = running.describe(observation)
         target = self.targets.get(observation.target)
-        if target is None:
-            return observation
-        target.own_load = max(0, target.own_load - 1)
-        if running is not None:
-            target.own_work.discard(running)
-        match observation.outcome:
-            case Outcome.UNREACHABLE:
-                target.record_unreachable(now)
-            case Outcome.DRAINING:
-                target.misplaced = True
-            case _:
-                target.record_connected()
-        self.record_observation(observation, now)
+        if target is not None:
+            self.recorder.record_end(target, observation, now, running)
         return observation
 
     def record_observation(self, observation: Observation, now: float) -> None:
