Optional parts of placement are on only where the deploy file asks for them

Cause: earlier deployments are to be served as before. Ruled out: a trigger by the configuration alone, since earlier deployments have mixed services, too. Change: the environment variable CACTUSVANE_PLACEMENT of the role names the parts; without it requests are placed as before.

--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -5,10 +5,16 @@
 from typing import Any
 
 import pytest
-from adapter.settings import SETTINGS_VARIABLE, StartupSettings, read_settings
+from adapter.settings import (
+    PLACEMENT_VARIABLE,
+    SETTINGS_VARIABLE,
+    StartupSettings,
+    read_settings,
+)
 
 from cactusvane.errors import SettingsError
 from cactusvane.fleet.vm import Address
+from cactusvane.placement.settings import PlacementSettings
 from cactusvane.settings import HttpLimits
 
 FILE: dict[str, Any] = {
@@ -139,3 +145,27 @@
     assert (adopted.connections, adopted.side_connections) == (150, 16)
     assert (adopted.stall_ms, adopted.pipelined) == (5_000, 9)
     assert (adopted.body_bytes, adopted.head_ms, adopted.idle_ms) == (7, 3_000, 15_000)
+
+
+def test_placement_options_are_off_unless_the_deploy_file_asks_for_them(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a change of deployments that did not ask for it."""
+    monkeypatch.delenv(PLACEMENT_VARIABLE, raising=False)
+    placement = read(tmp_path, monkeypatch, FILE).fleet.placement
+    assert placement == PlacementSettings(floor_share=0.8)
+    monkeypatch.setenv(PLACEMENT_VARIABLE, '{"expected-work": true, "share-room": true}')
+    placement = read(tmp_path, monkeypatch, FILE).fleet.placement
+    assert placement.expected_work_where_mixed
+    assert placement.share_room
+    assert placement.affinity_cost_share == 0.0
+
+
+@pytest.mark.parametrize("text", ["{", '{"expected_work": true}', '{"share-room": 1}'])
+def test_placement_options_that_are_invalid_are_rejected(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, text: str
+) -> None:
+    """Guards against a misspelt option that is ignored."""
+    monkeypatch.setenv(PLACEMENT_VARIABLE, text)
+    with pytest.raises(SettingsError, match=PLACEMENT_VARIABLE):
+        read(tmp_path, monkeypatch, FILE)
