--- a/tests/following/test_notifier.py
+++ b/tests/following/test_notifier.py
@@ -91,8 +91,9 @@
 def test_foreign_entries_are_those_of_the_directory_or_else_the_seeds() -> None:
     """Queries for another failure domain's proof must not go to the entry itself."""
     notifier = Notifier()
-    assert notifier.notifier.foreign_addresses() == [Address(SEED.host, OWN.port)]
-    notifier.notifier.seeds = (Address(OWN.host, 8_382),)
-    assert notifier.notifier.foreign_addresses() == []
+    entries = notifier.notifier.entries
+    assert entries.foreign_addresses() == [Address(SEED.host, OWN.port)]
+    entries.seeds = (Address(OWN.host, 8_382),)
+    assert entries.foreign_addresses() == []
     notifier.tell()
-    assert len(notifier.notifier.foreign_addresses()) == 2
+    assert len(entries.foreign_addresses()) == 2
