--- a/cactusvane/placement/messages.py
+++ b/cactusvane/placement/messages.py
@@ -111,7 +111,7 @@
     failed_ago_ms
         Time since a request failed at the target; None if none ever did.
     work
-        Expected work of the request; None unless `PlacementSettings.expected_work` is set.
+        Expected work of the request; None where the service is not placed by it.
     """
 
     load: int
